Add the command line, the demo and the example deployments

Cause: a newcomer needs two commands, and operators need an editor of sections that tells the truth.

--- a/carawayvale/commands/daemons.py
+++ b/carawayvale/commands/daemons.py
@@ -6,6 +6,7 @@
 
 from carawayvale.commands.run import run_daemon
 from carawayvale.contracts.document import load_document
+from carawayvale.contracts.settings import BackendSettings
 from carawayvale.contracts.settings import load_key
 from carawayvale.contracts.settings import load_settings
 from carawayvale.links.listener import Listener
@@ -80,14 +81,34 @@
     run_daemon(run, _stop_at_once)
 
 
-def run_backends(settings_paths: tuple[str, ...], log_level: str) -> None:
-    """Run backend server stand-ins, several in one process.
+def list_backends(
+    document_path: str, service_ms: float
+) -> list[BackendSettings]:
+    """List the backend servers that a document names.
 
-    :param settings_paths: names of the settings files.
+    :param document_path: file with the document.
+    :param service_ms: time that a request takes, in milliseconds.
+    :returns: settings of their stand-ins.
+    :raises InvalidInput: if the document is invalid.
+    """
+    document = load_document(Path(document_path).read_text(), document_path)
+    return [
+        BackendSettings(
+            name=endpoint.name,
+            address=endpoint.address,
+            slots=endpoint.slots,
+            service_ms=service_ms,
+        )
+        for endpoint in document.by_kind["endpoint"].values()
+    ]
+
+
+def run_backends(listed: list[BackendSettings], log_level: str) -> None:
+    """Run backend server stand-ins in one process.
+
+    :param listed: their settings.
     :param log_level: least level of log lines.
-    :raises InvalidInput: if the settings are wrong.
     """
-    listed = [load_settings(path, "backend") for path in settings_paths]
     start_logs(log_level)
     listeners = [
         Listener(open_listener(s.address), BackendServer(s).handle)
--- a/carawayvale/contracts/settings.py
+++ b/carawayvale/contracts/settings.py
@@ -117,6 +117,27 @@
     cold: bool = declare(parse_flag, False)
 
 
+@register_settings("operator")
+@dataclass(frozen=True, kw_only=True)
+class OperatorSettings:
+    """Settings of an operator's command line.
+
+    :param store: address of the platform's store.
+    :param store_kind: adapter for the store.
+    :param team: the operator's team.
+    :param entries: operators' ports of the entry instances.
+    :param key_variable: environment variable with the deployment's key.
+    :param key_file: file with the key; it precedes the variable.
+    """
+
+    store: Address = declare(parse_address)
+    store_kind: str = declare(parse_name, DEFAULT_STORE_KIND)
+    team: str = declare(parse_name, "")
+    entries: tuple[Address, ...] = declare(parse_addresses, ())
+    key_variable: str = declare(parse_name, DEFAULT_KEY_VARIABLE)
+    key_file: str = declare(parse_text, "")
+
+
 def load_settings(path: str, kind: str) -> Any:
     """Load one section of a settings file.
 
@@ -186,10 +207,10 @@
     return 0
 
 
-def load_key(settings: EntrySettings) -> bytes:
+def load_key(settings: EntrySettings | OperatorSettings) -> bytes:
     """Load the deployment's key that the settings name.
 
-    :param settings: settings of an entry instance.
+    :param settings: settings that name the key.
     :returns: the key.
     :raises InvalidInput: if it cannot be read or is too short.
     """
