Give a replaced instance no credits that its predecessor spent

Cause: a new process opened the present epoch with its full share, though the process that it replaced may have spent the same share. The state machine over credits found 5 spent of a cap of 4: spend 2, replace the instance, spend 2, and 1 by the other instance.

Change: a new purse waits three epochs, which covers clocks that differ by an epoch each way. Far ticket expiries are refused instead of being remembered for a shorter time than they are valid, which could have run a submission twice.

Ruled out: dividing by the observed instances alone. A stale view would overspend, so the divisor never falls below the document's plan.

--- /dev/null
+++ b/carawayvale/contracts/tests/test_tickets.py
@@ -0,0 +1,182 @@
+"""Tests of submission tickets, as units and as a state machine."""
+
+from hypothesis import settings
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis import strategies
+import pytest
+
+from carawayvale.contracts import BadTicket
+from carawayvale.contracts import Claim
+from carawayvale.contracts import decode_ticket
+from carawayvale.contracts import encode_ticket
+from carawayvale.contracts import issue_ticket
+from carawayvale.contracts import Outcome
+from carawayvale.contracts import Phase
+from carawayvale.contracts import Ticket
+from carawayvale.contracts import TicketLedger
+from carawayvale.contracts.tickets import GRACE_S
+
+KEY = b"k" * 16
+NAMES = ("e1", "e2")
+
+
+class TestTicketText:
+    def test_round_trip(self):
+        ticket = issue_ticket("e1", 7, 12.5)
+        assert decode_ticket(encode_ticket(ticket, KEY), KEY) == ticket
+
+    def test_forged_ticket_is_refused(self):
+        text = encode_ticket(issue_ticket("e1", 7, 12.5), b"x" * 16)
+        with pytest.raises(BadTicket):
+            decode_ticket(text, KEY)
+
+    @pytest.mark.parametrize("text", ["", "A", "?", "AAAA", "a" * 500])
+    def test_malformed_ticket_is_refused(self, text):
+        with pytest.raises(BadTicket):
+            decode_ticket(text, KEY)
+
+
+class TestTicketLedger:
+    def test_other_incarnation_is_unknown(self):
+        ledger = TicketLedger("e1", 2)
+        assert ledger.claim(Ticket("e1", 1, 9, b"a"), 0) is Claim.UNKNOWN
+
+    def test_not_run_may_be_claimed_again(self):
+        ledger = TicketLedger("e1", 1)
+        ticket = Ticket("e1", 1, 9, b"a")
+        ledger.claim(ticket, 0)
+        ledger.settle(ticket, Phase.NOT_RUN)
+        assert ledger.claim(ticket, 1) is Claim.RUN
+
+    def test_not_run_after_expiry_is_not_claimed_again(self):
+        ledger = TicketLedger("e1", 1)
+        ticket = Ticket("e1", 1, 9, b"a")
+        ledger.claim(ticket, 0)
+        ledger.settle(ticket, Phase.NOT_RUN)
+        assert ledger.claim(ticket, 9) is Claim.NOT_RUN
+
+    def test_outcome_is_remembered(self):
+        ledger = TicketLedger("e1", 1)
+        ticket = Ticket("e1", 1, 9, b"a")
+        ledger.claim(ticket, 0)
+        ledger.settle(ticket, Phase.DONE, Outcome(200, (), b"ok"))
+        assert ledger.claim(ticket, 8) is Claim.DONE
+        assert ledger.find_outcome(ticket).body == b"ok"
+
+    def test_paused_past_expiry_does_not_start(self):
+        ledger = TicketLedger("e1", 1)
+        ticket = Ticket("e1", 1, 9, b"a")
+        ledger.claim(ticket, 0)
+        assert not ledger.start(ticket, 9)
+
+    def test_full_ledger_refuses_and_forgets_nothing_valid(self):
+        ledger = TicketLedger("e1", 1, capacity=1)
+        first = Ticket("e1", 1, 9, b"a")
+        ledger.claim(first, 0)
+        ledger.settle(first, Phase.DONE, Outcome(200))
+        assert ledger.claim(Ticket("e1", 1, 9, b"b"), 1) is Claim.FULL
+        assert ledger.claim(first, 1) is Claim.DONE
+
+    def test_far_expiry_is_not_accepted(self):
+        ledger = TicketLedger("e1", 1, max_ttl_s=10)
+        ticket = Ticket("e1", 1, 1e9, b"a")
+        assert ledger.claim(ticket, 0) is Claim.NOT_RUN
+
+    def test_expired_unknown_ticket_is_unknown_after_the_grace(self):
+        ledger = TicketLedger("e1", 1)
+        ticket = Ticket("e1", 1, 9, b"a")
+        assert ledger.claim(ticket, 9 + GRACE_S) is Claim.UNKNOWN
+
+
+class TicketMachine(RuleBasedStateMachine):
+    """Entry instances crash, pause and repeat; nothing runs twice."""
+
+    @initialize()
+    def start(self):
+        self.now_s = 0.0
+        self.incarnations = dict.fromkeys(NAMES, 1)
+        self.ledgers = {n: TicketLedger(n, 1, 3, 40.0) for n in NAMES}
+        self.tickets = []
+        self.open = []
+        self.sent = []
+        self.runs = {}
+
+    @rule(
+        name=strategies.sampled_from(NAMES),
+        ttl=strategies.sampled_from([1.0, 30.0, 150.0]),
+    )
+    def issue(self, name, ttl):
+        ticket = issue_ticket(name, self.incarnations[name], self.now_s + ttl)
+        self.tickets.append(ticket)
+
+    @precondition(lambda self: self.tickets)
+    @rule(data=strategies.data(), name=strategies.sampled_from(NAMES))
+    def submit(self, data, name):
+        ticket = data.draw(strategies.sampled_from(self.tickets))
+        claim = self.ledgers[name].claim(ticket, self.now_s)
+        if claim is Claim.RUN:
+            self.open.append((self.ledgers[name], ticket))
+        if claim is Claim.NOT_RUN:
+            assert not self.runs.get(ticket.ticket_id)
+        if claim is Claim.DONE:
+            assert self.runs[ticket.ticket_id] == 1
+
+    @precondition(lambda self: self.open)
+    @rule(data=strategies.data(), refused=strategies.booleans())
+    def send(self, data, refused):
+        pair = data.draw(strategies.sampled_from(self.open))
+        self.open.remove(pair)
+        ledger, ticket = pair
+        if not ledger.start(ticket, self.now_s):
+            ledger.settle(ticket, Phase.NOT_RUN)
+        elif refused:
+            ledger.stop(ticket)
+            ledger.settle(ticket, Phase.NOT_RUN)
+        else:
+            runs = self.runs.get(ticket.ticket_id, 0)
+            self.runs[ticket.ticket_id] = runs + 1
+            self.sent.append(pair)
+
+    @precondition(lambda self: self.sent)
+    @rule(data=strategies.data(), answered=strategies.booleans())
+    def finish(self, data, answered):
+        pair = data.draw(strategies.sampled_from(self.sent))
+        self.sent.remove(pair)
+        ledger, ticket = pair
+        phase = Phase.DONE if answered else Phase.UNKNOWN
+        ledger.settle(ticket, phase, Outcome(200))
+
+    @rule(name=strategies.sampled_from(NAMES))
+    def restart(self, name):
+        self.incarnations[name] += 1
+        old = self.ledgers[name]
+        self.open = [p for p in self.open if p[0] is not old]
+        self.sent = [p for p in self.sent if p[0] is not old]
+        incarnation = self.incarnations[name]
+        self.ledgers[name] = TicketLedger(name, incarnation, 3, 40.0)
+
+    @rule(seconds=strategies.sampled_from([0.5, 10.0, 101.0]))
+    def pause(self, seconds):
+        self.now_s += seconds
+
+    @invariant()
+    def nothing_runs_twice(self):
+        assert all(runs <= 1 for runs in getattr(self, "runs", {}).values())
+
+    @invariant()
+    def memory_is_bounded(self):
+        for ledger in getattr(self, "ledgers", {}).values():
+            assert len(ledger.entries) <= ledger.capacity
+
+
+TestTicketMachine = TicketMachine.TestCase
+TestTicketMachine.settings = settings(
+    derandomize=True,
+    max_examples=150,
+    stateful_step_count=40,
+    deadline=None,
+)
--- a/carawayvale/contracts/tickets.py
+++ b/carawayvale/contracts/tickets.py
@@ -187,14 +187,12 @@
             return self._claim_known(entry)
         if now_s >= ticket.expiry_s + GRACE_S:
             return Claim.UNKNOWN
-        if now_s >= ticket.expiry_s:
+        if not now_s < ticket.expiry_s <= now_s + self.max_ttl_s:
             return Claim.NOT_RUN
         self._forget_expired(now_s)
         if len(self.entries) >= self.capacity:
             return Claim.FULL
-        self.entries[ticket.ticket_id] = Entry(
-            min(ticket.expiry_s, now_s + self.max_ttl_s), Phase.CLAIMED
-        )
+        self.entries[ticket.ticket_id] = Entry(ticket.expiry_s, Phase.CLAIMED)
         return Claim.RUN
 
     def _claim_known(self, entry: Entry) -> Claim:
--- a/carawayvale/zones/credits.py
+++ b/carawayvale/zones/credits.py
@@ -11,7 +11,8 @@
 from carawayvale.links.messages import CreditGrant
 
 RANK_RESERVE = 0.2
-NO_EPOCH = -1
+NO_EPOCH = -(2**62)
+JOIN_EPOCHS = 3
 
 
 @dataclass(frozen=True)
@@ -32,7 +33,9 @@
 class CreditPurse:
     """Credits of one instance for one cap.
 
-    Credits are valid in their epoch only. Given credits are deducted
+    Credits are valid in their epoch only. A new process waits some
+    epochs, since the one that it replaces may have spent its share and
+    their clocks may differ by up to an epoch each. Given credits are deducted
     before the grant is sent, so a lost grant loses them and none is
     spent twice.
 
@@ -40,7 +43,8 @@
     :param epoch_s: length of an epoch in seconds.
 
     >>> purse = CreditPurse("link:a-b/a", 1.0)
-    >>> purse.open(7, Allowance(cap=2, step=2, divisor=2))
+    >>> for epoch in range(4, 8):
+    ...     purse.open(epoch, Allowance(cap=2, step=2, divisor=2))
     >>> purse.spend(7, 0), purse.spend(7, 0), purse.spend(8, 0)
     (True, False, False)
     """
@@ -48,6 +52,7 @@
     link: str
     epoch_s: float
     epoch: int = NO_EPOCH
+    first_epoch: int = NO_EPOCH
     credits: int = 0
     received: int = 0
     spent: int = 0
@@ -70,6 +75,8 @@
         """
         if epoch <= self.epoch:
             return
+        if self.epoch == NO_EPOCH:
+            self.first_epoch = epoch + JOIN_EPOCHS
         before = self.spent if epoch == self.epoch + 1 else 0
         share = allowance.cap / allowance.divisor
         growth = allowance.step / allowance.divisor
@@ -77,6 +84,8 @@
         self.spent = 0
         self.received = 0
         self.credits = int(min(share, before + growth))
+        if epoch < self.first_epoch:
+            self.credits = 0
 
     def spend(self, epoch: int, position: int) -> bool:
         """Spend one credit.
