--- /dev/null
+++ b/carawayvale/links/tests/test_peer_link.py
@@ -0,0 +1,80 @@
+"""Tests of the links' handshake over real sockets."""
+
+import curio
+from curio import socket
+import pytest
+
+from carawayvale.links import greet_client
+from carawayvale.links import greet_server
+from carawayvale.links import Heartbeat
+from carawayvale.links import LinkRefused
+from carawayvale.links.tests.test_membership import make_record
+
+KEY = b"k" * 16
+
+
+async def greet(server_key, client_key):
+    """Open a link between two instances with the given keys."""
+    first, second = socket.socketpair()
+    async with first, second:
+        server = await curio.spawn(
+            greet_client, first, server_key, make_record("server")
+        )
+        try:
+            client = await greet_server(
+                second, client_key, make_record("client")
+            )
+        except BaseException:
+            await server.cancel()
+            raise
+        link = await server.join()
+        await client.send_now(Heartbeat(1, b"v", 2))
+        return link.peer.name, client.peer.name, await link.receive()
+
+
+class TestHandshake:
+    def test_both_sides_learn_who_the_other_is(self):
+        names = curio.run(greet, KEY, KEY)
+        assert names == ("client", "server", Heartbeat(1, b"v", 2))
+
+    def test_client_without_the_key_is_refused(self):
+        async def run():
+            first, second = socket.socketpair()
+            async with first, second:
+                client = await curio.spawn(
+                    greet_server, second, b"x" * 16, make_record("client")
+                )
+                with pytest.raises(LinkRefused, match="hello"):
+                    await greet_client(first, KEY, make_record("server"))
+                await client.cancel()
+
+        curio.run(run)
+
+    def test_server_without_the_key_is_refused(self):
+        async def run():
+            first, second = socket.socketpair()
+            async with first, second:
+                server = await curio.spawn(
+                    pretend_server, first, make_record("server")
+                )
+                with pytest.raises(LinkRefused, match="welcome"):
+                    await greet_server(second, KEY, make_record("client"))
+                await server.cancel()
+
+        curio.run(run)
+
+
+async def pretend_server(sock, record):
+    """Accept any hello and sign the welcome with another key."""
+    from carawayvale.links import peer_link
+
+    protocol = peer_link.ServerProtocol()
+    link = peer_link.PeerLink(sock, protocol)
+    await link.open_server()
+    await link.send_now(peer_link.Challenge(b"n"))
+    hello = await link.receive()
+    tag = peer_link.sign_handshake(
+        b"x" * 16, b"welcome", b"n", hello.nonce, record.name
+    )
+    await link.send_now(peer_link.Welcome(record, tag))
+    await curio.sleep(5)
--- /dev/null
+++ b/carawayvale/machines/tests/test_dispatcher.py
@@ -0,0 +1,210 @@
+"""Tests of the queue by rank and of the slots, in virtual time."""
+
+import heapq
+import random
+
+from carawayvale.contracts import Address
+from carawayvale.contracts import AttemptResult
+from carawayvale.contracts import Endpoint
+from carawayvale.contracts import Rank
+from carawayvale.contracts import Reason
+from carawayvale.machines import Dispatcher
+from carawayvale.machines import EndpointSlots
+from carawayvale.machines import Job
+
+URGENT = Rank(name="urgent", owner="o", order=1, max_wait_s=1.0)
+BROWSE = Rank(name="browse", owner="o", order=2, floor=0.2, max_wait_s=2.0)
+HISTORY = Rank(name="history", owner="o", order=3, floor=0.1, max_wait_s=5.0)
+RANKS = (HISTORY, URGENT, BROWSE)
+SERVICE_S = 0.01
+
+
+def make_endpoint(name="g1", slots=4, draining=False):
+    """Make an endpoint."""
+    return Endpoint(
+        name=name,
+        owner="team",
+        service="grids",
+        region="zurich",
+        domain="zurich-a",
+        address=Address("127.0.0.1", 80),
+        slots=slots,
+        draining=draining,
+    )
+
+
+def make_dispatcher(*endpoints, ramp_s=0.0):
+    """Make a dispatcher over endpoints without a ramp."""
+    dispatcher = Dispatcher(RANKS, {})
+    dispatcher.update(RANKS, endpoints or (make_endpoint(),), 0.0, ramp_s)
+    return dispatcher
+
+
+class Flood:
+    """Sends Poisson arrivals of each rank to a dispatcher.
+
+    :param rates: arrivals a second by rank.
+    :param seconds: length of the flood.
+    """
+
+    def __init__(self, rates, seconds, seed=1):
+        self.random = random.Random(seed)
+        self.dispatcher = make_dispatcher(make_endpoint(slots=8))
+        self.served = dict.fromkeys(rates, 0)
+        self.offered = dict.fromkeys(rates, 0)
+        self.latency = {rank: [] for rank in rates}
+        self.events = []
+        self.count = 0
+        for rank, rate in rates.items():
+            now_s = 0.0
+            while rate and (now_s := now_s + self.pause(rate)) < seconds:
+                self.push(now_s, rank)
+
+    def pause(self, rate):
+        """Draw the time to the next arrival."""
+        return self.random.expovariate(rate)
+
+    def push(self, when_s, what):
+        """Add an event."""
+        self.count += 1
+        heapq.heappush(self.events, (when_s, self.count, what))
+
+    def run(self):
+        """Handle all events."""
+        while self.events:
+            now_s, _, what = heapq.heappop(self.events)
+            if isinstance(what, str):
+                job = Job(what, now_s + 5.0)
+                self.offered[what] += 1
+                self.dispatcher.offer(job, now_s)
+            else:
+                self.dispatcher.release(what, now_s, True)
+                job = what.job
+                self.served[job.rank] += 1
+                self.latency[job.rank].append(now_s - job.queued_s)
+            for grant in self.dispatcher.take_grants(now_s):
+                took_s = SERVICE_S * self.random.uniform(0.8, 1.2)
+                self.push(now_s + took_s, grant)
+        return self
+
+
+CAPACITY = 8 / SERVICE_S
+
+
+class TestDispatcher:
+    def test_urgent_goes_first(self):
+        dispatcher = make_dispatcher(make_endpoint(slots=1))
+        jobs = [Job(r, 9.0) for r in ("history", "urgent", "browse")]
+        for job in jobs:
+            dispatcher.queues[job.rank].jobs.append(job)
+        grant = dispatcher.take_grants(0.0)[0]
+        assert grant.job.rank == "urgent"
+
+    def test_slots_are_never_exceeded(self):
+        dispatcher = make_dispatcher(make_endpoint(slots=3))
+        for _ in range(10):
+            dispatcher.offer(Job("urgent", 9.0), 0.0)
+        assert len(dispatcher.take_grants(0.0)) == 3
+        assert dispatcher.take_grants(0.0) == []
+
+    def test_expired_job_is_never_started(self):
+        dispatcher = make_dispatcher(make_endpoint(slots=1))
+        dispatcher.offer(Job("urgent", 9.0), 0.0)
+        first = dispatcher.take_grants(0.0)[0]
+        dispatcher.offer(Job("urgent", 1.0), 0.0)
+        dispatcher.release(first, 2.0, True)
+        assert dispatcher.take_grants(2.0) == []
+
+    def test_work_that_cannot_finish_is_refused_early(self):
+        dispatcher = make_dispatcher(make_endpoint(slots=1))
+        for _ in range(20):
+            dispatcher.offer(Job("urgent", 9.0), 0.0)
+        reason = dispatcher.find_refusal(Job("urgent", 0.1), 0.0)
+        assert reason is Reason.DEADLINE
+
+    def test_draining_endpoint_gets_nothing(self):
+        dispatcher = make_dispatcher(make_endpoint(draining=True))
+        reason = dispatcher.offer(Job("urgent", 9.0), 0.0)
+        assert reason is Reason.NO_CAPACITY
+
+    def test_retry_avoids_the_failed_endpoint(self):
+        dispatcher = make_dispatcher(make_endpoint("a"), make_endpoint("b"))
+        dispatcher.offer(Job("urgent", 9.0), 0.0)
+        first = dispatcher.take_grants(0.0)[0]
+        dispatcher.release(first, 0.1, False)
+        dispatcher.requeue(first.job, first.endpoint)
+        assert dispatcher.take_grants(0.1)[0].endpoint != first.endpoint
+
+    def test_removed_endpoint_finishes_its_work(self):
+        dispatcher = make_dispatcher(make_endpoint("a"))
+        dispatcher.offer(Job("urgent", 9.0), 0.0)
+        grant = dispatcher.take_grants(0.0)[0]
+        dispatcher.update(RANKS, (make_endpoint("b"),), 1.0, 0.0)
+        assert list(dispatcher.slots) == ["a", "b"]
+        dispatcher.release(grant, 1.0, True)
+        assert list(dispatcher.slots) == ["b"]
+
+    def test_removed_rank_keeps_its_jobs(self):
+        dispatcher = make_dispatcher(make_endpoint(slots=1))
+        job = Job("history", 9.0)
+        dispatcher.queues["history"].jobs.append(job)
+        dispatcher.update((URGENT,), (make_endpoint(),), 0.0, 0.0)
+        assert dispatcher.take_grants(0.0)[0].job is job
+
+
+class TestFloods:
+    def test_flood_of_least_urgent_work_leaves_urgent_work_alone(self):
+        alone = Flood({"urgent": 0.5 * CAPACITY}, 10).run()
+        rates = {"urgent": 0.5 * CAPACITY, "history": 10 * CAPACITY}
+        flood = Flood(rates, 10).run()
+        assert flood.served["urgent"] >= 0.999 * flood.offered["urgent"]
+        p99_alone = sorted(alone.latency["urgent"])[
+            -len(alone.latency["urgent"]) // 100
+        ]
+        p99_flood = sorted(flood.latency["urgent"])[
+            -len(flood.latency["urgent"]) // 100
+        ]
+        assert p99_flood <= 1.5 * p99_alone + SERVICE_S
+
+    def test_flood_of_urgent_work_leaves_the_floors(self):
+        rates = {
+            "urgent": 10 * CAPACITY,
+            "browse": 0.5 * CAPACITY,
+            "history": 0.5 * CAPACITY,
+        }
+        flood = Flood(rates, 10).run()
+        total = sum(flood.served.values())
+        for rank in (BROWSE, HISTORY):
+            assert flood.served[rank.name] >= 0.9 * rank.floor * total
+        assert total >= 0.95 * CAPACITY * 10
+
+
+class TestEndpointSlots:
+    def test_ramp_grows_to_the_declared_slots(self):
+        slots = EndpointSlots(make_endpoint(slots=6), 0.0, 3.0)
+        counts = [slots.count_usable(t) for t in (0.0, 1.5, 3.0)]
+        assert counts == [2, 4, 6]
+
+    def test_quota_of_zero_means_no_work(self):
+        slots = EndpointSlots(make_endpoint(), 0.0, 0.0, quota=0)
+        assert slots.count_usable(1.0) == 0
+
+    def test_refusals_shrink_and_answers_grow_the_limit(self):
+        slots = EndpointSlots(make_endpoint(slots=10), 0.0, 0.0)
+        slots.record(AttemptResult.REFUSED_NOT_RUN, 0.001, 1.0)
+        shrunk = slots.count_usable(1.0)
+        for _ in range(50):
+            slots.record(AttemptResult.ANSWERED, 0.01, 1.0)
+        assert shrunk == 7
+        assert slots.count_usable(1.0) == 10
+
+    def test_repeated_failures_eject_for_a_growing_time(self):
+        slots = EndpointSlots(make_endpoint(), 0.0, 0.0)
+        for _ in range(3):
+            slots.record(AttemptResult.BROKEN, 0.01, 1.0)
+        assert slots.count_usable(1.1) == 0
+        assert slots.count_usable(1.6) == 1
+        slots.record(AttemptResult.BROKEN, 0.01, 1.6)
+        assert slots.count_usable(2.5) == 0
+        slots.record(AttemptResult.ANSWERED, 0.01, 3.0)
+        assert slots.count_usable(3.0) == 4
