--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of real processes and of decisions, with bounds."""
--- /dev/null
+++ b/carawayvale/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line."""
+
+from carawayvale.commands.main import run
+
+if __name__ == "__main__":
+    run()
--- a/carawayvale/commands/main.py
+++ b/carawayvale/commands/main.py
@@ -2,6 +2,7 @@
 
 import sys
 from urllib.parse import urlencode
+import warnings
 
 import curio
 import fire
@@ -217,6 +218,8 @@
 
 def run() -> None:
     """Run the command line."""
+    # fire tries every argument as a literal; IP numbers make it warn.
+    warnings.filterwarnings("ignore", category=SyntaxWarning)
     try:
         fire.Fire(Commands, name="carawayvale")
     except InvalidInput as error:
