Keep requests from queues of regions that nobody steered to

Cause: an instance that owned shards of a region without live instances served its own region's requests on them, without a credit, and a full owner forwarded to other full owners, which refused once more.

Change: a request is tried at its own region's shards first, then at owners that report free slots, then in other regions against credits; shards adopted from a dead region cost credits too. The dispatcher drops work that waited too long or would end after its deadline.

Ruled out: a longer queue; at 130 % the lost goodput was work that ended after its deadline.

--- a/carawayvale/contracts/reasons.py
+++ b/carawayvale/contracts/reasons.py
@@ -15,10 +15,11 @@
     DEADLINE_STARTED = "deadline_started"
     BUDGET = "retry_budget"
     NO_CAPACITY = "no_capacity"
+    NO_CREDIT = "no_credit"
+    NOT_OWNER = "not_owner"
     BACKEND_REFUSED = "backend_refused"
     BACKEND_BROKEN = "backend_broken"
     OWNER_UNREACHABLE = "owner_unreachable"
-    HOPS = "too_many_hops"
     BAD_TICKET = "bad_ticket"
     TICKET_EXPIRED = "ticket_expired"
     IN_PROGRESS = "in_progress"
@@ -55,10 +56,11 @@
         Refusal(Reason.DEADLINE_STARTED, 504, False),
         Refusal(Reason.BUDGET, 503, True, 2.0),
         Refusal(Reason.NO_CAPACITY, 503, True, 1.0),
+        Refusal(Reason.NO_CREDIT, 503, True, 1.0),
+        Refusal(Reason.NOT_OWNER, 503, True, 1.0),
         Refusal(Reason.BACKEND_REFUSED, 503, True, 1.0),
         Refusal(Reason.BACKEND_BROKEN, 502, False),
         Refusal(Reason.OWNER_UNREACHABLE, 503, True, 1.0),
-        Refusal(Reason.HOPS, 508, True, 1.0),
         Refusal(Reason.BAD_TICKET, 400, True),
         Refusal(Reason.TICKET_EXPIRED, 410, True),
         Refusal(Reason.IN_PROGRESS, 409, False, 1.0),
--- a/carawayvale/machines/dispatcher.py
+++ b/carawayvale/machines/dispatcher.py
@@ -62,6 +62,19 @@
         limit = MAX_SAVED_COSTS * self.cost_s
         self.owed_s = min(limit, self.owed_s + self.rank.floor * cost_s)
 
+    def drop_stale(self, now_s: float) -> None:
+        """Drop jobs that waited too long or can no longer finish.
+
+        :param now_s: the time.
+        """
+        latest_s = now_s - self.rank.max_wait_s
+        while self.jobs:
+            job = self.jobs[0]
+            finish_s = now_s + self.cost_s
+            if job.queued_s >= latest_s and finish_s <= job.deadline_s:
+                return
+            self.jobs.popleft()
+
     @property
     def is_owed(self) -> bool:
         """Whether the floor owes the rank a whole service."""
@@ -165,7 +178,7 @@
         wait_s = self.estimate_wait(job.rank, now_s)
         if wait_s == float("inf"):
             return Reason.NO_CAPACITY
-        if now_s + wait_s >= job.deadline_s:
+        if now_s + wait_s + queue.cost_s > job.deadline_s:
             return Reason.DEADLINE
         if wait_s > queue.rank.max_wait_s:
             return Reason.QUEUE_FULL
@@ -245,12 +258,10 @@
     def _choose_queue(self, now_s: float) -> RankQueue | None:
         first = None
         for queue in self.queues.values():
-            jobs = queue.jobs
-            while jobs and jobs[0].deadline_s <= now_s:
-                jobs.popleft()
+            queue.drop_stale(now_s)
             if queue.is_owed:
                 return queue
-            if first is None and jobs:
+            if first is None and queue.jobs:
                 first = queue
         return first
 
--- a/carawayvale/machines/exchange.py
+++ b/carawayvale/machines/exchange.py
@@ -180,24 +180,33 @@
 
     async def _route(self) -> Reason | None:
         """Serve the request here or forward it to one that can."""
-        request = self.request
-        reason = None
-        queue = self._choose_queue()
-        if queue is not None:
-            job = Job(request.rank.name, request.deadline_s)
-            reason = queue.dispatcher.find_refusal(job, self.node.clock.read())
-            if reason is None and not self._may_serve_here():
-                reason = Reason.NO_CAPACITY
-            if reason is None:
-                reason = await self._run_local(queue, job)
-                if reason not in SPILLED or self._is_body_used():
-                    return reason
-        if request.forwarded:
-            return reason or Reason.HOPS
+        region = self.node.me.region
+        reason = await self._try_region(region, self._may_serve_here)
+        if reason is None or reason not in SPILLED or self._is_body_used():
+            return reason
+        if self.request.forwarded:
+            return reason
         return await self._route_elsewhere(reason)
 
-    def _choose_queue(self) -> ShardQueue | None:
-        queues = self.node.list_local(self.request.service.name)
+    async def _try_region(
+        self, region: str, may_serve: Callable[[], bool]
+    ) -> Reason | None:
+        """Serve the request at endpoints of a region, if owned here."""
+        queue = self._choose_queue(region)
+        if queue is None:
+            return Reason.NOT_OWNER
+        job = Job(self.request.rank.name, self.request.deadline_s)
+        now_s = self.node.clock.read()
+        reason = queue.dispatcher.find_refusal(job, now_s)
+        if reason is not None:
+            return reason
+        if not may_serve():
+            return Reason.NO_CREDIT
+        return await self._run_local(queue, job)
+
+    def _choose_queue(self, region: str) -> ShardQueue | None:
+        service = self.request.service.name
+        queues = self.node.list_local(service, region)
         if len(queues) < 2:
             return queues[0] if queues else None
         now_s = self.node.clock.read()
@@ -225,12 +234,15 @@
     def _is_body_used(self) -> bool:
         return not self.request.is_buffered and not self.http.body_left
 
-    async def _route_elsewhere(self, reason: Reason | None) -> Reason | None:
+    async def _route_elsewhere(self, reason: Reason) -> Reason | None:
+        node = self.node
+        source = node.me.region
+        service = self.request.service.name
+        is_full = reason is not Reason.NOT_OWNER
         forwards = 0
-        for remote in list_remotes(self.node, self.request.service.name):
+        for remote in list_remotes(node, service, is_full):
             if forwards >= MAX_FORWARDS:
                 break
-            source = self.node.me.region
             if remote.region != source:
                 if not self._spend(source, remote.region):
                     continue
@@ -238,8 +250,13 @@
             found = await self._forward(remote)
             if found is not Reason.OWNER_UNREACHABLE:
                 return found
-            reason = reason or found
-        return reason or Reason.NO_CAPACITY
+        for region in node.list_adopted(service):
+            found = await self._try_region(
+                region, lambda r=region: self._spend(source, r)
+            )
+            if found not in SPILLED:
+                return found
+        return Reason.NO_CAPACITY if reason is Reason.NOT_OWNER else reason
 
     async def _read_body(self) -> None:
         if self.body is not None or not self.request.is_buffered:
--- a/carawayvale/machines/node.py
+++ b/carawayvale/machines/node.py
@@ -180,18 +180,34 @@
             for slots in queue.dispatcher.slots.values():
                 slots.since_s = now_s
 
-    def list_local(self, service: str) -> list[ShardQueue]:
-        """List the queues of the service's shards owned here.
+    def list_local(self, service: str, region: str) -> list[ShardQueue]:
+        """List the queues of a pool's shards that are owned here.
 
         :param service: name of the service.
+        :param region: region of the endpoints.
         :returns: the queues.
         """
         return [
             self.queues[name]
             for name, shard in self.shard_of.items()
-            if shard.service == service and name in self.queues
+            if shard.service == service
+            and shard.region == region
+            and name in self.queues
         ]
 
+    def list_adopted(self, service: str) -> list[str]:
+        """List other regions whose shards are owned here.
+
+        :param service: name of the service.
+        :returns: regions that have no live instance of their own.
+        """
+        regions = {
+            shard.region
+            for shard in self.shard_of.values()
+            if shard.service == service
+        }
+        return sorted(regions - {self.me.region})
+
     def find_budget(self, service: Service) -> RetryBudget:
         """Find the retry budget of a service.
 
@@ -224,7 +240,7 @@
         return self.has_role(ROLE_WATCHER, WATCHERS)
 
     def measure_headroom(self) -> tuple[ServiceHeadroom, ...]:
-        """Measure the headroom of the shards owned here.
+        """Measure the headroom of the own region's shards owned here.
 
         :returns: headroom by service.
         """
@@ -233,7 +249,7 @@
         usable: dict[str, int] = {}
         for name, shard in self.shard_of.items():
             queue = self.queues.get(name)
-            if queue is None:
+            if queue is None or shard.region != self.me.region:
                 continue
             dispatcher = queue.dispatcher
             slots = dispatcher.count_usable(now_s)
--- a/carawayvale/machines/shard_queue.py
+++ b/carawayvale/machines/shard_queue.py
@@ -48,8 +48,9 @@
         await self.pump()
         if job in self.grants:
             return self.grants.pop(job)
-        rank = self.dispatcher.find_queue(job.rank).rank
-        left_s = job.deadline_s - now_s
+        queue = self.dispatcher.find_queue(job.rank)
+        rank = queue.rank
+        left_s = job.deadline_s - queue.cost_s - now_s
         event = self.waiters[job] = curio.Event()
         reason = Reason.DEADLINE
         if rank.max_wait_s < left_s:
--- a/carawayvale/machines/steering.py
+++ b/carawayvale/machines/steering.py
@@ -6,7 +6,9 @@
 from carawayvale.machines.node import Node
 
 
-def list_remotes(node: Node, service: str) -> Iterator[MemberRecord]:
+def list_remotes(
+    node: Node, service: str, is_full: bool
+) -> Iterator[MemberRecord]:
     """List other instances that can serve a request, best first.
 
     Owners of the own region come first, those with free slots before
@@ -15,9 +17,16 @@
 
     :param node: the instance.
     :param service: the service.
+    :param is_full: whether this instance owns a part of the pool that
+        has no free slot; then only owners that report free slots are
+        listed, since others would refuse as well.
     :returns: records of the instances.
     """
-    yield from list_owners(node, service, node.me.region)
+    now_s = node.clock.read()
+    for record in list_owners(node, service, node.me.region):
+        free = node.book.find_owner_free(record.name, service, now_s)
+        if free or not is_full:
+            yield record
     for region in list_regions(node, service):
         yield from list_owners(node, service, region)
 
--- a/carawayvale/machines/tests/test_dispatcher.py
+++ b/carawayvale/machines/tests/test_dispatcher.py
@@ -208,3 +208,21 @@
         assert slots.count_usable(2.5) == 0
         slots.record(AttemptResult.ANSWERED, 0.01, 3.0)
         assert slots.count_usable(3.0) == 4
+
+
+class TestStaleWork:
+    def test_work_that_would_end_after_its_deadline_is_not_started(self):
+        dispatcher = make_dispatcher(make_endpoint(slots=1))
+        dispatcher.offer(Job("urgent", 9.0), 0.0)
+        first = dispatcher.take_grants(0.0)[0]
+        dispatcher.offer(Job("urgent", 1.0), 0.0)
+        dispatcher.release(first, 0.99, False)
+        assert dispatcher.take_grants(0.99) == []
+
+    def test_work_that_waited_too_long_is_not_started(self):
+        dispatcher = make_dispatcher(make_endpoint(slots=1))
+        dispatcher.offer(Job("urgent", 9.0), 0.0)
+        first = dispatcher.take_grants(0.0)[0]
+        dispatcher.offer(Job("urgent", 9.0), 0.0)
+        dispatcher.release(first, 1.1, False)
+        assert dispatcher.take_grants(1.1) == []
