--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -52,7 +52,7 @@
         *range(start, LAST_PORT, PORTS),
         *range(FIRST_PORT, start, PORTS),
     ):
-        if all(is_free(base + n) for n in (0, 101, 120, 220, 320, 1000, 1047)):
+        if all(is_free(base + n) for n in range(0, PORTS, 7)):
             return base
     raise OSError("no free range of ports")
 
@@ -106,6 +106,7 @@
     :param change: changes the document's text before the start.
     :param service_ms: time that a backend server takes.
     :param options: further lines of each entry's settings.
+    :param example: folder with the document and the settings.
     """
 
     def __init__(
@@ -115,6 +116,7 @@
         change: Callable[[str], str] = str,
         service_ms: float = 10.0,
         options: str = "",
+        example: Path = EXAMPLE,
     ):
         self.folder = Path(folder)
         self.base = find_base()
@@ -122,10 +124,10 @@
         self.service_ms = service_ms
         self.settings: dict[str, Path] = {}
         self.ports: dict[str, dict[str, int]] = {}
-        text = self.shift((EXAMPLE / "document.ini").read_text())
+        text = self.shift((example / "document.ini").read_text())
         self.document = self.folder / "document.ini"
         self.document.write_text(change(text))
-        for path in sorted((EXAMPLE / "entries").glob("*.ini")):
+        for path in sorted((example / "entries").glob("*.ini")):
             name = path.stem
             if names is None or name in set(names):
                 self.settings[name] = self.write(f"{name}.ini", path, options)
--- a/carawayvale/links/http.py
+++ b/carawayvale/links/http.py
@@ -185,13 +185,32 @@
         event = await self._next_event()
         if isinstance(event, h11.ConnectionClosed):
             return None
+        return self._take_head(event)
+
+    def parse_head(self) -> RequestHead | None:
+        """Parse the head of the next request without waiting.
+
+        :returns: the head, or None if it has not wholly arrived.
+        :raises BadRequest: if it is malformed or too large.
+        """
+        event = self._parse_event()
+        return self._take_head(event) if type(event) is h11.Request else None
+
+    def _take_head(self, request: h11.Request) -> RequestHead:
         self.body_left = True
         return RequestHead(
-            event.method.decode("ascii"),
-            event.target.decode("ascii"),
-            tuple(event.headers),
+            request.method.decode("ascii"),
+            request.target.decode("ascii"),
+            tuple(request.headers),
         )
 
+    def _parse_event(self) -> h11.Event:
+        try:
+            return self.http.next_event()
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint
+            raise BadRequest(str(error), status) from None
+
     async def read_chunk(self) -> bytes:
         """Read the next piece of the request's body.
 
@@ -214,11 +233,7 @@
 
     async def _next_event(self) -> h11.Event:
         while True:
-            try:
-                event = self.http.next_event()
-            except h11.RemoteProtocolError as error:
-                status = error.error_status_hint
-                raise BadRequest(str(error), status) from None
+            event = self._parse_event()
             if event is h11.NEED_DATA:
                 try:
                     data = await self.sock.recv(READ_BYTES)
--- a/carawayvale/links/peer_link.py
+++ b/carawayvale/links/peer_link.py
@@ -121,7 +121,9 @@
         self.inbox: list[Any] = []
         self.is_closing = False
         self.sent_bytes = 0
+        self.sent_packets = 0
         self.received_bytes = 0
+        self.received_packets = 0
 
     async def post(self, message: Any) -> None:
         """Hand a message to the link's writer; drop it if it is stuck.
@@ -161,6 +163,7 @@
         if not data:
             return
         self.sent_bytes += len(data)
+        self.sent_packets += 1
         try:
             await curio.timeout_after(WRITE_TIMEOUT_S, self.sock.sendall, data)
         except (OSError, curio.TaskTimeout) as error:
@@ -185,6 +188,7 @@
         if not data:
             raise LinkBroken("connection closed")
         self.received_bytes += len(data)
+        self.received_packets += 1
         self.protocol.receive_data(data)
         others = []
         for event in self.protocol.events_received():
--- a/carawayvale/links/peers.py
+++ b/carawayvale/links/peers.py
@@ -69,6 +69,38 @@
     return register
 
 
+@dataclass(frozen=True)
+class Traffic:
+    """What links carried; bytes are without TCP and IP headers.
+
+    :param sent_bytes: bytes that were sent.
+    :param sent_packets: writes, about one packet each.
+    :param received_bytes: bytes that were received.
+    :param received_packets: reads, about one packet each.
+    """
+
+    sent_bytes: int
+    sent_packets: int
+    received_bytes: int
+    received_packets: int
+
+    def add(self, link: PeerLink) -> "Traffic":
+        """Add what a link carried.
+
+        :param link: the link.
+        :returns: the sum.
+        """
+        return Traffic(
+            self.sent_bytes + link.sent_bytes,
+            self.sent_packets + link.sent_packets,
+            self.received_bytes + link.received_bytes,
+            self.received_packets + link.received_packets,
+        )
+
+
+NO_TRAFFIC = Traffic(0, 0, 0, 0)
+
+
 @dataclass
 class OpenLink:
     """A link in use and when it was opened."""
@@ -122,8 +154,7 @@
     reported_s: float = 0.0
     beaten_s: float = 0.0
     seen_generation: int = -1
-    closed_sent_bytes: int = 0
-    closed_received_bytes: int = 0
+    closed_traffic: Traffic = NO_TRAFFIC
 
     def __post_init__(self):
         self.random = random.Random(self.membership.me.incarnation)
@@ -177,8 +208,7 @@
             await self._drop(name, link, closed)
 
     async def _drop(self, name: str, link: PeerLink, closed: bool) -> None:
-        self.closed_sent_bytes += link.sent_bytes
-        self.closed_received_bytes += link.received_bytes
+        self.closed_traffic = self.closed_traffic.add(link)
         present = self.links.get(name)
         if present is not None and present.link is link:
             del self.links[name]
@@ -321,17 +351,15 @@
         self.membership.retire()
         await self._send_updates()
 
-    @property
-    def sent_bytes(self) -> int:
-        """Bytes that were sent on all links."""
-        present = sum(o.link.sent_bytes for o in self.links.values())
-        return self.closed_sent_bytes + present
-
-    @property
-    def received_bytes(self) -> int:
-        """Bytes that were received on all links."""
-        present = sum(o.link.received_bytes for o in self.links.values())
-        return self.closed_received_bytes + present
+    def measure_traffic(self) -> Traffic:
+        """Measure what was carried on all links.
+
+        :returns: bytes and packets.
+        """
+        total = self.closed_traffic
+        for opened in self.links.values():
+            total = total.add(opened.link)
+        return total
 
 
 @handle_message(Heartbeat)
--- a/carawayvale/links/requests.py
+++ b/carawayvale/links/requests.py
@@ -31,7 +31,11 @@
     http = HttpServer(sock)
     try:
         while await curio.timeout_after(IDLE_TIMEOUT_S, http.wait_for_data):
-            head = await curio.timeout_after(HEADER_TIMEOUT_S, http.read_head)
+            head = http.parse_head()
+            if head is None:
+                head = await curio.timeout_after(
+                    HEADER_TIMEOUT_S, http.read_head
+                )
             if head is None:
                 return
             await handle(http, head)
--- a/carawayvale/machines/operator_port.py
+++ b/carawayvale/machines/operator_port.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from dataclasses import asdict
 from dataclasses import dataclass
 import hashlib
 import hmac
@@ -118,8 +119,8 @@
     node = port.node
     metrics = node.metrics
     metrics.set_gauge("in_flight", "", node.in_flight)
-    metrics.set_gauge("peer_bytes", "sent", port.peers.sent_bytes)
-    metrics.set_gauge("peer_bytes", "received", port.peers.received_bytes)
+    for name, value in asdict(port.peers.measure_traffic()).items():
+        metrics.set_gauge("peer_traffic", name, value)
     metrics.set_gauge("members", "", len(node.membership.records))
     metrics.set_gauge("revision", "", node.keeper.revision)
     for name, queue in node.queues.items():
@@ -160,8 +161,7 @@
         "members": members,
         "links": sorted(port.peers.links),
         "leaving": sorted(node.leaving),
-        "peer_bytes_sent": port.peers.sent_bytes,
-        "peer_bytes_received": port.peers.received_bytes,
+        "traffic": asdict(port.peers.measure_traffic()),
     }
     await send_json(http, HTTP_OK, body)
 
