Send region reports once and put messages into one packet

Change: one bridge of a region issues and relays its reports, the next in order takes over when it dies; in a mesh nobody relays what came from the own region; the writer puts waiting messages into one packet.

--- a/carawayvale/links/peer_link.py
+++ b/carawayvale/links/peer_link.py
@@ -147,11 +147,15 @@
         """
         while True:
             data = await self.outbox.get()
-            if data is CLOSE_REQUEST:
+            while data is not CLOSE_REQUEST:
+                self.protocol.send_binary(data)
+                if self.outbox.empty():
+                    break
+                data = await self.outbox.get()
+            else:
                 self.protocol.send_close()
                 await self.flush()
                 raise LinkClosed("closed on purpose")
-            self.protocol.send_binary(data)
             await self.flush()
 
     async def flush(self) -> None:
--- a/carawayvale/links/peers.py
+++ b/carawayvale/links/peers.py
@@ -21,6 +21,7 @@
 from carawayvale.links.membership import Membership
 from carawayvale.links.messages import BadMessage
 from carawayvale.links.messages import Heartbeat
+from carawayvale.links.messages import MemberRecord
 from carawayvale.links.messages import Members
 from carawayvale.links.messages import MembersRequest
 from carawayvale.links.messages import MemberState
@@ -116,14 +117,16 @@
 
     :param members_changed: called after the member list changed.
     :param document_changed: called after a document came into force.
-    :param make_reports: makes the message with headroom.
-    :param take_reports: takes over a peer's reports.
+    :param make_reports: makes the message with headroom for a peer's
+        region.
+    :param take_reports: takes over a peer's reports and returns those
+        that the own region has not seen.
     """
 
     members_changed: Notify
     document_changed: Notify
-    make_reports: Callable[[], Reports]
-    take_reports: Callable[[str, Reports], None]
+    make_reports: Callable[[str], Reports]
+    take_reports: Callable[[MemberRecord, Reports], Reports | None]
 
 
 @dataclass
@@ -249,7 +252,28 @@
             await self.send_heartbeats()
         if now_s - self.reported_s >= REPORT_S:
             self.reported_s = now_s
-            await self._broadcast(self.hooks.make_reports())
+            await self._send_reports()
+
+    async def _send_reports(self) -> None:
+        packed: dict[str, bytes] = {}
+        for opened in list(self.links.values()):
+            region = opened.link.peer.region
+            if region not in packed:
+                message = self.hooks.make_reports(region)
+                packed[region] = pack_message(message)
+            await opened.link.post_packed(packed[region])
+
+    async def relay_reports(self, reports: Reports, source: str) -> None:
+        """Pass reports on to the neighbours of the own region.
+
+        :param reports: the reports.
+        :param source: name of the peer that sent them.
+        """
+        data = pack_message(reports)
+        for name, opened in list(self.links.items()):
+            local = opened.link.peer.region == self.membership.me.region
+            if local and name != source:
+                await opened.link.post_packed(data)
 
     async def _settle(self) -> None:
         generation = self.membership.generation
@@ -449,7 +473,9 @@
     table: PeerTable, link: PeerLink, message: Reports
 ) -> None:
     """Take over headroom and the platform's list."""
-    table.hooks.take_reports(link.peer.name, message)
+    news = table.hooks.take_reports(link.peer, message)
+    if news is not None:
+        await table.relay_reports(news, link.peer.name)
 
 
 @handle_message(ProbeRequest)
--- a/carawayvale/machines/entry.py
+++ b/carawayvale/machines/entry.py
@@ -12,7 +12,6 @@
 from carawayvale.links.listener import Listener
 from carawayvale.links.listener import open_listener
 from carawayvale.links.messages import MemberRecord
-from carawayvale.links.messages import Reports
 from carawayvale.links.peers import PeerHooks
 from carawayvale.links.peers import PeerTable
 from carawayvale.machines.caller_port import CallerPort
@@ -121,7 +120,7 @@
                 self.plan_wanted.set,
                 self._on_document,
                 node.make_reports,
-                self._on_reports,
+                node.take_reports,
             ),
         )
         self.watcher = Watcher(
@@ -147,13 +146,8 @@
         await self.plan_wanted.set()
         await self.peers.send_heartbeats()
 
-    def _on_reports(self, name: str, reports: Reports) -> None:
-        if self.node.take_reports(name, reports):
-            self.list_changed = True
-
     async def _on_list(self, leaving: tuple[str, ...]) -> None:
-        if self.node.take_list(self.node.clock.read(), leaving):
-            await self.plan_wanted.set()
+        self.node.take_list(self.node.clock.read(), leaving)
 
     async def _plan_always(self) -> None:
         while True:
@@ -161,8 +155,6 @@
             self.plan_wanted.clear()
             await self.node.replan()
 
-    list_changed = False
-
     async def _pump_always(self) -> None:
         """Do what only the passing of time makes possible."""
         node = self.node
@@ -176,8 +168,8 @@
             if node.membership.pauses != pauses:
                 pauses = node.membership.pauses
                 node.restart_ramps()
-            if self.list_changed:
-                self.list_changed = False
+            if node.list_changed:
+                node.list_changed = False
                 await self.plan_wanted.set()
             if node.me.name in node.leaving and not node.draining:
                 await self.drain()
--- a/carawayvale/machines/node.py
+++ b/carawayvale/machines/node.py
@@ -14,7 +14,6 @@
 from carawayvale.contracts.settings import EntrySettings
 from carawayvale.contracts.tickets import TicketLedger
 from carawayvale.links.keeper import DocumentKeeper
-from carawayvale.links.membership import BRIDGES
 from carawayvale.links.membership import elect
 from carawayvale.links.membership import Membership
 from carawayvale.links.membership import MESH_SIZE
@@ -23,6 +22,7 @@
 from carawayvale.links.membership import WATCHERS
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links.messages import MemberState
+from carawayvale.links.messages import RegionReport
 from carawayvale.links.messages import Reports
 from carawayvale.links.messages import ServiceHeadroom
 from carawayvale.machines.connections import ConnectionPools
@@ -43,6 +43,8 @@
 from carawayvale.zones.plan import Plan
 from carawayvale.zones.reports import HeadroomBook
 
+ISSUERS = 1
+
 
 @dataclass
 class Node:
@@ -67,6 +69,7 @@
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     leaving: frozenset[str] = frozenset()
     listed_s: float = 0.0
+    list_changed: bool = False
     plan: Plan | None = None
     reader: RequestReader | None = None
     ownership: Ownership = EMPTY_OWNERSHIP
@@ -262,26 +265,37 @@
             for service in sorted(free)
         )
 
-    def make_reports(self) -> Reports:
-        """Make the message that tells peers of headroom.
+    def make_reports(self, target: str) -> Reports:
+        """Make the message that tells a peer of headroom.
 
-        :returns: the message.
+        :param target: the peer's region.
+        :returns: own headroom for the own region; the own region's
+            report for another one, if this instance issues it.
         """
-        now_s = self.clock.read()
-        headroom = self.measure_headroom()
-        self.book.record_owner(self.me.name, headroom, now_s)
-        region = self.me.region
-        names = self._list_region(region)
-        is_bridge = self.has_role(ROLE_BRIDGE, BRIDGES)
-        if is_bridge:
-            report = self.book.add_up(region, names, now_s)
-            self.book.record_region(report, now_s)
-        relays = is_bridge or len(names) > MESH_SIZE
-        regions = tuple(self.book.regions.values()) if relays else ()
+        headroom: tuple[ServiceHeadroom, ...] = ()
+        regions: tuple[RegionReport, ...] = ()
+        if target == self.me.region:
+            headroom = self.measure_headroom()
+        elif self._relays():
+            regions = (self._add_up_region(),)
         return Reports(
             headroom, regions, self.listed_s, tuple(sorted(self.leaving))
         )
 
+    def _add_up_region(self) -> RegionReport:
+        now_s = self.clock.read()
+        headroom = self.measure_headroom()
+        self.book.record_owner(self.me.name, headroom, now_s)
+        names = self._list_region(self.me.region)
+        return self.book.add_up(self.me.region, names, now_s)
+
+    def _relays(self) -> bool:
+        """Tell whether this instance alone informs its mesh."""
+        return self.has_role(ROLE_BRIDGE, ISSUERS)
+
+    def _is_mesh(self, region: str) -> bool:
+        return len(self._list_region(region)) <= MESH_SIZE
+
     def _list_region(self, region: str) -> list[str]:
         return [
             record.name
@@ -289,18 +303,31 @@
             if record.region == region and record.state is not MemberState.DEAD
         ]
 
-    def take_reports(self, name: str, reports: Reports) -> bool:
+    def take_reports(
+        self, peer: MemberRecord, reports: Reports
+    ) -> Reports | None:
         """Take over what a peer reports.
 
-        :param name: the peer.
+        :param peer: the peer.
         :param reports: its message.
-        :returns: whether the platform's list changed.
+        :returns: what the own region has not seen yet, or None.
         """
         now_s = self.clock.read()
-        self.book.record_owner(name, reports.headroom, now_s)
-        for report in reports.regions:
-            self.book.record_region(report, now_s)
-        return self.take_list(reports.listed_s, reports.leaving)
+        if reports.headroom:
+            self.book.record_owner(peer.name, reports.headroom, now_s)
+        news = tuple(
+            report
+            for report in reports.regions
+            if report.region != self.me.region
+            and self.book.record_region(report, now_s)
+        )
+        changed = self.take_list(reports.listed_s, reports.leaving)
+        if not news and not changed:
+            return None
+        if self._is_mesh(self.me.region) and not self._relays():
+            return None
+        leaving = tuple(sorted(self.leaving))
+        return Reports((), news, self.listed_s, leaving)
 
     def take_list(self, listed_s: float, leaving: Iterable[str]) -> bool:
         """Take over the platform's list if it is newer.
@@ -314,6 +341,7 @@
         self.listed_s = listed_s
         changed = frozenset(leaving) != self.leaving
         self.leaving = frozenset(leaving)
+        self.list_changed |= changed
         return changed
 
     def count_spenders(self) -> dict[str, int]:
