Keep a change of a large document from stalling the event loop

The whole text was split again for one section, a list of all matches was built without releasing the interpreter, and a full garbage collection visited every section.

The document says how many instances watch.

--- a/carawayvale/contracts/__init__.py
+++ b/carawayvale/contracts/__init__.py
@@ -5,6 +5,7 @@
 from carawayvale.contracts.document import check_document
 from carawayvale.contracts.document import Document
 from carawayvale.contracts.document import load_document
+from carawayvale.contracts.document import merge_sections
 from carawayvale.contracts.document import parse_document
 from carawayvale.contracts.document import parse_section
 from carawayvale.contracts.document import RawSection
@@ -93,6 +94,7 @@
     "load_key",
     "load_settings",
     "may_retry",
+    "merge_sections",
     "number",
     "OperatorSettings",
     "Outcome",
--- a/carawayvale/contracts/document.py
+++ b/carawayvale/contracts/document.py
@@ -122,16 +122,17 @@
     :param text: INI text.
     :returns: the raw sections; text before the first has title ``""``.
     """
-    matches = list(SECTION_LINE.finditer(text))
-    first = matches[0].start() if matches else len(text)
-    if text[:first].strip():
-        yield RawSection("", text[:first], 1)
-    line = 1 + text.count("\n", 0, first)
-    for index, match in enumerate(matches):
-        last = index + 1 == len(matches)
-        end = len(text) if last else matches[index + 1].start()
-        yield RawSection(match[1], text[match.end() : end], line)
-        line += text.count("\n", match.start(), end)
+    title, start, line = "", 0, 1
+    # A loop over the matches lets other threads run in between.
+    for match in SECTION_LINE.finditer(text):
+        body = text[start : match.start()]
+        if title or body.strip():
+            yield RawSection(title, body, line)
+        line += text.count("\n", start, match.start())
+        title, start = match[1], match.end()
+    body = text[start:]
+    if title or body.strip():
+        yield RawSection(title, body, line)
 
 
 def parse_document(
@@ -176,6 +177,35 @@
     return Error(findings) if findings else Ok(document)
 
 
+def merge_sections(
+    known: Document, changed: Iterable[RawSection], removed: Iterable[str]
+) -> Result[Document, list[Finding]]:
+    """Change some sections of a document and check the whole.
+
+    Only the changed sections are parsed. A section that exists keeps
+    its place; new ones come last.
+
+    :param known: the document to change.
+    :param changed: new and changed sections.
+    :param removed: titles of removed sections.
+    :returns: the document with the known one's revision, or findings.
+    """
+    findings: list[Finding] = []
+    sections = dict(known.sections)
+    for title in removed:
+        sections.pop(title, None)
+    for raw in changed:
+        parsed = parse_section(raw, raw.title)
+        if parsed.is_ok():
+            sections[raw.title] = parsed.ok
+        else:
+            findings.extend(parsed.error)
+    document = Document(known.revision, MappingProxyType(sections))
+    if not findings:
+        findings.extend(check_document(document, "document", {}))
+    return Error(findings) if findings else Ok(document)
+
+
 def load_document(text: str, source: str) -> Document:
     """Parse a document or raise.
 
--- a/carawayvale/contracts/sections.py
+++ b/carawayvale/contracts/sections.py
@@ -26,6 +26,7 @@
 DEFAULT_EPOCH_S = 1.0
 DEFAULT_HEADROOM_AGE_S = 3.0
 DEFAULT_HOLD_DOWN_S = 10.0
+DEFAULT_WATCHERS = 2
 
 
 def register_kind(kind: str) -> Callable[[type], type]:
@@ -53,6 +54,7 @@
     :param hold_down_s: seconds for which a departed instance still
         counts in the division of a cap.
     :param headroom_age_s: age at which a headroom report is ignored.
+    :param watchers: instances of a region that watch the store.
     """
 
     name: str
@@ -62,6 +64,7 @@
     epoch_s: float = declare(number(0.2, 60), DEFAULT_EPOCH_S)
     hold_down_s: float = declare(number(1, 600), DEFAULT_HOLD_DOWN_S)
     headroom_age_s: float = declare(number(0.5, 60), DEFAULT_HEADROOM_AGE_S)
+    watchers: int = declare(number(1, 1024, whole=True), DEFAULT_WATCHERS)
 
 
 @register_kind("region")
@@ -169,7 +172,9 @@
 class Route:
     """Requests of a service that are treated alike.
 
-    The first route in the order of the document that matches decides.
+    Of the routes that match, the most specific one decides: the longer
+    path first, then one with methods, then one with a caller class, then
+    the first name. The order of the document means nothing.
 
     :param service: the service.
     :param path: prefix of the request's path.
--- a/carawayvale/links/keeper.py
+++ b/carawayvale/links/keeper.py
@@ -1,6 +1,5 @@
 """Keeps the revision in force and what led to it."""
 
-from collections.abc import Mapping
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
@@ -11,8 +10,8 @@
 
 from carawayvale.contracts.document import Document
 from carawayvale.contracts.document import EMPTY_DOCUMENT
-from carawayvale.contracts.document import parse_document
-from carawayvale.contracts.document import Section
+from carawayvale.contracts.document import merge_sections
+from carawayvale.contracts.document import RawSection
 from carawayvale.contracts.findings import Finding
 from carawayvale.contracts.findings import Place
 from carawayvale.links.messages import Sections
@@ -139,14 +138,12 @@
     if change.base not in (0, document.revision):
         message = f"change is based on revision {change.base}"
         return Error([Finding(Place(source), message)])
-    kept: Mapping[str, Section] = document.sections if change.base else {}
-    bodies = {title: section.body for title, section in kept.items()}
-    for title in change.removed:
-        bodies.pop(title, None)
-    for section in change.changed:
-        bodies[section.title] = "\n" + section.body
-    text = "\n".join(f"[{t}]\n{b.strip()}\n" for t, b in bodies.items())
-    result = parse_document(text, source, document)
+    known = document if change.base else EMPTY_DOCUMENT
+    changed = [
+        RawSection(section.title, f"\n{section.body}", 1)
+        for section in change.changed
+    ]
+    result = merge_sections(known, changed, change.removed)
     if result.is_error():
         return result
     parsed = result.ok.number_as(change.revision)
--- a/carawayvale/links/tests/test_keeper.py
+++ b/carawayvale/links/tests/test_keeper.py
@@ -67,7 +67,10 @@
             (),
         )
         result = apply_change(keeper.document, bad, "peer")
-        assert len(result.error) == 2
+        assert {str(f.place) for f in result.error} == {
+            "region:a: 1: [region:a]",
+            "region:a: 2: [region:a] limit",
+        }
 
 
 class SpreadMachine(RuleBasedStateMachine):
--- a/carawayvale/machines/__init__.py
+++ b/carawayvale/machines/__init__.py
@@ -15,6 +15,7 @@
 from carawayvale.machines.dispatcher import RankQueue
 from carawayvale.machines.entry import EntryInstance
 from carawayvale.machines.entry import make_incarnation
+from carawayvale.machines.entry import settle_memory
 from carawayvale.machines.exchange import Exchange
 from carawayvale.machines.exchange import read_reason
 from carawayvale.machines.exchange import refuse_claim
@@ -91,6 +92,7 @@
     "RequestReader",
     "send_attempt",
     "send_refusal",
+    "settle_memory",
     "ShardQueue",
     "show_health",
     "show_metrics",
--- a/carawayvale/machines/entry.py
+++ b/carawayvale/machines/entry.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import gc
 import secrets
 import time
 
@@ -39,6 +40,17 @@
     return (now_ms << INCARNATION_BITS) | secrets.randbits(INCARNATION_BITS)
 
 
+def settle_memory() -> None:
+    """Exempt all present objects from garbage collection.
+
+    A full collection would visit every section of a large document and
+    stall the event loop. Objects without cycles, as sections are, are
+    still freed when they are replaced.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 class EntryInstance:
     """One entry instance.
 
@@ -153,7 +165,10 @@
         while True:
             await self.plan_wanted.wait()
             self.plan_wanted.clear()
+            was_ready = self.node.is_ready
             await self.node.replan()
+            if self.node.is_ready and not was_ready:
+                settle_memory()
 
     async def _pump_always(self) -> None:
         """Do what only the passing of time makes possible."""
@@ -163,8 +178,9 @@
             await curio.sleep(PUMP_S)
             if node.plan is None:
                 continue
-            counts = node.count_spenders()
-            node.shifts.open_epochs(node.clock.read(), counts)
+            now_s = node.clock.read()
+            if node.shifts.is_due(now_s):
+                node.shifts.open_epochs(now_s, node.count_spenders())
             if node.membership.pauses != pauses:
                 pauses = node.membership.pauses
                 node.restart_ramps()
--- a/carawayvale/machines/node.py
+++ b/carawayvale/machines/node.py
@@ -19,7 +19,6 @@
 from carawayvale.links.membership import MESH_SIZE
 from carawayvale.links.membership import ROLE_BRIDGE
 from carawayvale.links.membership import ROLE_WATCHER
-from carawayvale.links.membership import WATCHERS
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links.messages import MemberState
 from carawayvale.links.messages import RegionReport
@@ -240,7 +239,8 @@
 
         :returns: whether it does.
         """
-        return self.has_role(ROLE_WATCHER, WATCHERS)
+        deployment = self.plan.deployment if self.plan else DEFAULT_DEPLOYMENT
+        return self.has_role(ROLE_WATCHER, deployment.watchers)
 
     def measure_headroom(self) -> tuple[ServiceHeadroom, ...]:
         """Measure the headroom of the own region's shards owned here.
--- a/carawayvale/platform/editor.py
+++ b/carawayvale/platform/editor.py
@@ -15,7 +15,8 @@
 
 from carawayvale.contracts.document import Document
 from carawayvale.contracts.document import EMPTY_DOCUMENT
-from carawayvale.contracts.document import parse_document
+from carawayvale.contracts.document import merge_sections
+from carawayvale.contracts.document import RawSection
 from carawayvale.contracts.findings import Finding
 from carawayvale.contracts.findings import Place
 from carawayvale.links.keeper import describe_change
@@ -125,18 +126,17 @@
     :param edit: the change.
     :returns: the changed document, or findings.
     """
-    bodies = {t: s.body.strip() for t, s in document.sections.items()}
+    present = document.sections.get(edit.section)
     if edit.remove:
-        if edit.section not in bodies:
+        if present is None:
             place = Place(DOCUMENT_KEY, edit.section)
             return Error([Finding(place, "there is no such section")])
-        del bodies[edit.section]
-    else:
-        old = bodies.get(edit.section, "")
-        new = old if edit.body is None else edit.body.strip()
-        bodies[edit.section] = change_body(new, edit.values)
-    text = "\n\n".join(f"[{t}]\n{body}" for t, body in bodies.items())
-    return parse_document(text, DOCUMENT_KEY, document)
+        return merge_sections(document, (), (edit.section,))
+    old = present.body if present else ""
+    new = old if edit.body is None else edit.body
+    body = change_body(new, edit.values)
+    raw = RawSection(edit.section, f"\n{body}\n", 1)
+    return merge_sections(document, (raw,), ())
 
 
 def find_owner(document: Document, title: str) -> str | None:
--- a/carawayvale/zones/__init__.py
+++ b/carawayvale/zones/__init__.py
@@ -24,6 +24,7 @@
 from carawayvale.zones.plan import list_blocks
 from carawayvale.zones.plan import make_plan
 from carawayvale.zones.plan import Plan
+from carawayvale.zones.plan import rank_route
 from carawayvale.zones.plan import Treatment
 from carawayvale.zones.reports import HeadroomBook
 from carawayvale.zones.reports import OwnerReport
@@ -49,6 +50,7 @@
     "OwnerReport",
     "Ownership",
     "Plan",
+    "rank_route",
     "rotate_targets",
     "score_candidate",
     "Segment",
--- a/carawayvale/zones/credits.py
+++ b/carawayvale/zones/credits.py
@@ -174,6 +174,17 @@
         for direction in self.purses.keys() - self.links.keys():
             del self.purses[direction]
 
+    def is_due(self, now_s: float) -> bool:
+        """Tell whether the epoch of any purse is over.
+
+        :param now_s: the process's clock.
+        :returns: whether a new one must be opened.
+        """
+        return any(
+            purse.find_epoch(now_s) != purse.epoch
+            for purse in self.purses.values()
+        )
+
     def open_epochs(self, now_s: float, counts: Mapping[str, int]) -> None:
         """Begin a new epoch where the old one is over.
 
--- a/carawayvale/zones/plan.py
+++ b/carawayvale/zones/plan.py
@@ -38,7 +38,7 @@
     :param deployment: values for the whole deployment.
     :param shards: all shards.
     :param quotas: slots for each endpoint under the regions' limits.
-    :param routes: routes by service, in the order of the document.
+    :param routes: routes by service, the most specific first.
     :param homes: regions by network of the caller.
     :param classes: caller classes by network.
     """
@@ -99,7 +99,7 @@
     """
     groups = document.by_kind
     routes: dict[str, list[Route]] = {}
-    for route in groups["route"].values():
+    for route in sorted(groups["route"].values(), key=rank_route):
         routes.setdefault(route.service, []).append(route)
     deployments = groups["deployment"].values()
     return Plan(
@@ -113,6 +113,20 @@
     )
 
 
+def rank_route(route: Route) -> tuple[int, bool, bool, str]:
+    """Give the place of a route among others, the most specific first.
+
+    :param route: the route.
+    :returns: a key to sort by.
+    """
+    return (
+        -len(route.path),
+        not route.methods,
+        not route.caller,
+        route.name,
+    )
+
+
 def list_blocks(sections: Mapping) -> list[NamedBlock]:
     """List the networks of regions or caller classes.
 
