--- a/carawayvale/commands/main.py
+++ b/carawayvale/commands/main.py
@@ -221,7 +221,7 @@
     # fire tries every argument as a literal; IP numbers make it warn.
     warnings.filterwarnings("ignore", category=SyntaxWarning)
     try:
-        fire.Fire(Commands, name="carawayvale")
+        fire.Fire(Commands(), name="carawayvale")
     except InvalidInput as error:
         fail(ExitStatus.INVALID, str(error))
     except Unreachable as error:
