Hedge slow urgent reads and cancel the copy that loses

A slow backend server held urgent reads for its whole delay.

Change: an idempotent request of the first rank is sent to a second endpoint after the service's hedge_s, if a slot is free, no job waits and the retry budget allows; the loser's connection is closed and its backend server told to stop. A failure that no handler expects ends only its own connection and is logged.

--- a/carawayvale/commands/documents.py
+++ b/carawayvale/commands/documents.py
@@ -45,6 +45,8 @@
 class DocumentCommands:
     """Show, check and edit the operators' document.
 
+    Commands: show, check, edit, history; each has a --help of its own.
+
     :param settings: file with the section ``[operator]``.
     """
 
--- a/carawayvale/links/http.py
+++ b/carawayvale/links/http.py
@@ -158,6 +158,7 @@
         )
         self.pending = b""
         self.body_left = False
+        self.sends_body = True
         self.peer = sock.getpeername()[0]
 
     async def wait_for_data(self) -> bool:
@@ -198,6 +199,7 @@
 
     def _take_head(self, request: h11.Request) -> RequestHead:
         self.body_left = True
+        self.sends_body = request.method != b"HEAD"
         return RequestHead(
             request.method.decode("ascii"),
             request.target.decode("ascii"),
@@ -261,7 +263,8 @@
         :param data: the piece.
         :raises ConnectionBroken: if the caller went away.
         """
-        self.pending += self.http.send(h11.Data(data=data))
+        if self.sends_body:
+            self.pending += self.http.send(h11.Data(data=data))
         await self._flush()
 
     async def finish(self) -> None:
@@ -284,7 +287,7 @@
         """
         length = (b"content-length", b"%d" % len(body))
         await self.send_head(status, [*headers, length])
-        if body:
+        if body and self.sends_body:
             self.pending += self.http.send(h11.Data(data=body))
         await self.finish()
 
--- a/carawayvale/links/listener.py
+++ b/carawayvale/links/listener.py
@@ -10,6 +10,7 @@
 
 from carawayvale.contracts.fields import Address
 from carawayvale.links.http import disable_nagle
+from carawayvale.telemetry.logs import log_event
 
 BACKLOG = 1024
 MAX_CONNECTIONS = 4000
@@ -92,6 +93,8 @@
                 await self.handle(secured)
         except OSError:
             return
+        except Exception as error:
+            log_event("connection_failed", "ERROR", cause=repr(error))
         finally:
             self.tasks.discard(task)
             await client.close()
--- a/carawayvale/machines/__init__.py
+++ b/carawayvale/machines/__init__.py
@@ -4,6 +4,7 @@
 from carawayvale.machines.attempts import judge_answer
 from carawayvale.machines.attempts import Outbound
 from carawayvale.machines.attempts import send_attempt
+from carawayvale.machines.attempts import send_cancel
 from carawayvale.machines.caller_port import CallerPort
 from carawayvale.machines.caller_port import LookupQuestion
 from carawayvale.machines.connections import ConnectionPool
@@ -20,6 +21,7 @@
 from carawayvale.machines.exchange import read_reason
 from carawayvale.machines.exchange import refuse_claim
 from carawayvale.machines.exchange import send_refusal
+from carawayvale.machines.hedging import Hedge
 from carawayvale.machines.node import Node
 from carawayvale.machines.operator_port import begin_drain
 from carawayvale.machines.operator_port import handle_call
@@ -66,6 +68,7 @@
     "Exchange",
     "Grant",
     "handle_call",
+    "Hedge",
     "IdleConnection",
     "is_echo",
     "Job",
@@ -91,6 +94,7 @@
     "refuse_claim",
     "RequestReader",
     "send_attempt",
+    "send_cancel",
     "send_refusal",
     "settle_memory",
     "ShardQueue",
--- a/carawayvale/machines/attempts.py
+++ b/carawayvale/machines/attempts.py
@@ -15,11 +15,13 @@
 from carawayvale.links.http import HttpClient
 from carawayvale.machines.connections import ConnectionPool
 from carawayvale.machines.requests import is_echo
+from carawayvale.machines.requests import make_cancel_target
 
 BUFFERED_ANSWER_BYTES = 65536
 PROGRESS_TIMEOUT_S = 10.0
 CONNECT_LIMIT_S = 1.0
 HTTP_SERVER_ERROR = 500
+CANCEL_HEADERS = [(names.HOST, b"cancel")]
 
 BodySource = Callable[[], AsyncIterator[bytes]]
 
@@ -141,3 +143,25 @@
     if head.find(names.NOT_RUN) is not None:
         return AttemptResult.REFUSED_NOT_RUN
     return AttemptResult.FAILED
+
+
+async def send_cancel(pool: ConnectionPool, request_id: bytes) -> None:
+    """Ask a backend server to stop a request; failures do not matter.
+
+    :param pool: connections to the backend server.
+    :param request_id: id of the request.
+    """
+    target = make_cancel_target(request_id)
+    try:
+        async with curio.timeout_after(CONNECT_LIMIT_S):
+            client = await pool.acquire(CONNECT_LIMIT_S, False)
+            try:
+                await client.send_request("DELETE", target, CANCEL_HEADERS)
+                await client.read_head()
+                await client.read_body(BUFFERED_ANSWER_BYTES)
+            except BaseException:
+                await client.close()
+                raise
+            await pool.release(client)
+    except (ConnectionBroken, curio.TaskTimeout):
+        return
--- a/carawayvale/machines/dispatcher.py
+++ b/carawayvale/machines/dispatcher.py
@@ -255,6 +255,23 @@
             job.granted_s = now_s
             grants.append(Grant(job, slots.endpoint.name))
 
+    def take_extra(self, job: Job, now_s: float) -> Grant | None:
+        """Grant a free slot at once for a second copy of a job.
+
+        :param job: the copy; it avoids the endpoint of the first.
+        :param now_s: the time.
+        :returns: the grant; None while jobs wait or no other endpoint
+            has a free slot.
+        """
+        if self.waiting:
+            return None
+        slots = self._choose_slots(job, now_s)
+        if slots is None or slots.endpoint.name in job.avoid:
+            return None
+        slots.in_flight += 1
+        job.granted_s = now_s
+        return Grant(job, slots.endpoint.name)
+
     def _choose_queue(self, now_s: float) -> RankQueue | None:
         first = None
         for queue in self.queues.values():
--- a/carawayvale/machines/exchange.py
+++ b/carawayvale/machines/exchange.py
@@ -27,9 +27,11 @@
 from carawayvale.machines.attempts import Attempt
 from carawayvale.machines.attempts import Outbound
 from carawayvale.machines.attempts import send_attempt
+from carawayvale.machines.attempts import send_cancel
 from carawayvale.machines.connections import ConnectionPool
 from carawayvale.machines.dispatcher import Grant
 from carawayvale.machines.dispatcher import Job
+from carawayvale.machines.hedging import Hedge
 from carawayvale.machines.node import Node
 from carawayvale.machines.requests import CallerRequest
 from carawayvale.machines.requests import copy_answer_headers
@@ -286,7 +288,7 @@
         number = 1
         while isinstance(grant, Grant):
             node.metrics.count("attempts", self.request.service.name)
-            attempt = await self._attempt(queue, grant, number)
+            grant, attempt = await self._attempt_or_hedge(queue, grant, number)
             if attempt.result is AttemptResult.ANSWERED:
                 budget.deposit()
             elif self._can_repeat(attempt) and budget.withdraw():
@@ -306,6 +308,40 @@
         sendable = self.body is not None
         return may_retry(attempt.result, self.request.idempotent, sendable)
 
+    async def _attempt_or_hedge(
+        self, queue: ShardQueue, grant: Grant, number: int
+    ) -> tuple[Grant, Attempt]:
+        request = self.request
+        delay_s = request.service.hedge_s
+        urgent = request.rank.order == 1 and request.idempotent
+        if not delay_s or not urgent or self.body is None:
+            return grant, await self._attempt(queue, grant, number)
+        hedge = Hedge(
+            delay_s,
+            lambda: self._take_hedge(queue, grant),
+            lambda extra: self._attempt(queue, extra, number),
+            lambda lost: self._cancel_attempt(queue, lost),
+        )
+        return await hedge.run(grant)
+
+    def _take_hedge(self, queue: ShardQueue, grant: Grant) -> Grant | None:
+        extra = queue.take_extra(grant)
+        if extra is None:
+            return None
+        budget = self.node.find_budget(self.request.service)
+        if not budget.withdraw():
+            queue.dispatcher.release(extra, self.node.clock.read(), False)
+            return None
+        self.node.metrics.count("hedges", self.request.service.name)
+        return extra
+
+    async def _cancel_attempt(self, queue: ShardQueue, lost: Grant) -> None:
+        """Ask a backend server to stop working on a lost copy."""
+        slots = queue.dispatcher.slots.get(lost.endpoint)
+        if slots is not None:
+            pool = self.node.pools.find(slots.endpoint.address)
+            await send_cancel(pool, self.request.request_id)
+
     async def _attempt(
         self, queue: ShardQueue, grant: Grant, number: int
     ) -> Attempt:
--- a/carawayvale/machines/shard_queue.py
+++ b/carawayvale/machines/shard_queue.py
@@ -44,6 +44,17 @@
         self.dispatcher.requeue(job, endpoint)
         return await self._wait(job, self.clock.read())
 
+    def take_extra(self, grant: Grant) -> Grant | None:
+        """Take a free slot of another endpoint for a second copy.
+
+        :param grant: the grant of the first copy.
+        :returns: the grant of the copy, or None.
+        """
+        job = grant.job
+        avoid = {*job.avoid, grant.endpoint}
+        copy = Job(job.rank, job.deadline_s, avoid, job.queued_s)
+        return self.dispatcher.take_extra(copy, self.clock.read())
+
     async def _wait(self, job: Job, now_s: float) -> Grant | Reason:
         await self.pump()
         if job in self.grants:
--- a/carawayvale/machines/tests/test_bad_input.py
+++ b/carawayvale/machines/tests/test_bad_input.py
@@ -139,6 +139,7 @@
             self.sock = sock
             self.http = h11.Connection(h11.SERVER)
             self.pending, self.body_left = b"", False
+            self.sends_body = True
 
         curio.run(check)
 
--- a/carawayvale/standins/backend.py
+++ b/carawayvale/standins/backend.py
@@ -23,6 +23,7 @@
 from carawayvale.links.requests import read_json
 from carawayvale.links.requests import send_json
 from carawayvale.links.requests import serve_requests
+from carawayvale.machines.requests import read_cancel_target
 
 MAX_BODY_BYTES = 4096
 CHUNK_BYTES = 65536
@@ -197,7 +198,7 @@
         return marks
 
     async def _cancel(self, http: HttpServer, head: RequestHead) -> None:
-        request_id = head.path.removeprefix(names.CANCEL_PATH).encode()
+        request_id = read_cancel_target(head.path)
         task = self.running.get(request_id)
         if task is not None:
             await task.cancel(blocking=False)
