Speak TLS at the ports for callers and peers when the settings ask

Peers check certificates against the deployment's authority; names are not checked, since instances are known by IP numbers.

--- a/carawayvale/contracts/settings.py
+++ b/carawayvale/contracts/settings.py
@@ -63,8 +63,11 @@
     :param drain_limit_s: longest planned stop in seconds.
     :param store_read_s: mean interval of reads of the store by an
         instance that does not watch it.
-    :param tls_certificate: file with the certificate chain, or empty.
-    :param tls_key: file with the private key, or empty.
+    :param tls_certificate: file with the certificate chain; with it,
+        the ports for callers and peers speak TLS.
+    :param tls_key: file with the private key.
+    :param tls_authority: file with the authority that signed the
+        certificates of all instances.
     """
 
     name: str = declare(parse_name)
@@ -83,6 +86,7 @@
     store_read_s: float = declare(number(0.1, 3600), DEFAULT_STORE_READ_S)
     tls_certificate: str = declare(parse_text, "")
     tls_key: str = declare(parse_text, "")
+    tls_authority: str = declare(parse_text, "")
 
 
 @register_settings("store")
--- a/carawayvale/links/__init__.py
+++ b/carawayvale/links/__init__.py
@@ -72,6 +72,9 @@
 from carawayvale.links.requests import read_json
 from carawayvale.links.requests import send_json
 from carawayvale.links.requests import serve_requests
+from carawayvale.links.tls import load_authority
+from carawayvale.links.tls import load_tls
+from carawayvale.links.tls import TlsContexts
 
 __all__ = (
     "answer_probe",
@@ -107,6 +110,8 @@
     "LinkClosed",
     "LinkRefused",
     "Listener",
+    "load_authority",
+    "load_tls",
     "log_change",
     "log_findings",
     "MemberRecord",
@@ -142,6 +147,7 @@
     "take_probe_reply",
     "take_reports",
     "take_sections",
+    "TlsContexts",
     "Traffic",
     "unpack_message",
     "Updates",
--- a/carawayvale/links/http.py
+++ b/carawayvale/links/http.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 import socket as plain_socket
 from ssl import SSLContext
+from ssl import SSLSocket
 from ssl import SSLWantReadError
 
 import curio
@@ -482,13 +483,18 @@
 
         :returns: whether it must not be used again.
         """
+        sock = self.sock._socket
         try:
-            data = self.sock._socket.recv(1, plain_socket.MSG_PEEK)
+            if isinstance(sock, SSLSocket):
+                sock.recv(1)
+            else:
+                sock.recv(1, plain_socket.MSG_PEEK)
         except (BlockingIOError, SSLWantReadError):
             return False
-        except (OSError, ValueError):
+        except OSError:
             return True
-        return data is not None
+        # An idle connection has nothing to say but that it is closed.
+        return True
 
     async def close(self) -> None:
         """Close the connection."""
--- a/carawayvale/links/peers.py
+++ b/carawayvale/links/peers.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 import random
+from ssl import SSLContext
 from typing import Any
 
 import curio
@@ -136,6 +137,7 @@
     :param key: the deployment's key.
     :param seeds: peer ports that are always tried.
     :param clock: the process's clock.
+    :param ssl: context for TLS, or None.
     :param membership: the member list.
     :param keeper: the document in force.
     :param hooks: calls into the rest of the instance.
@@ -144,6 +146,7 @@
     key: bytes
     seeds: tuple[Address, ...]
     clock: Clock
+    ssl: SSLContext | None
     membership: Membership
     keeper: DocumentKeeper
     hooks: PeerHooks
@@ -333,7 +336,7 @@
         task = await curio.current_task()
         self.tasks.add(task)
         try:
-            sock = await connect(address)
+            sock = await connect(address, ssl=self.ssl)
             self.dialling.discard(address)
             async with sock:
                 await self._serve(sock, greet_server)
--- /dev/null
+++ b/carawayvale/links/tests/test_tls.py
@@ -0,0 +1,95 @@
+"""Tests of TLS between instances and towards callers."""
+
+from dataclasses import replace
+
+import curio
+import pytest
+import trustme
+
+from carawayvale.contracts import EntrySettings
+from carawayvale.contracts import InvalidInput
+from carawayvale.links import load_authority
+from carawayvale.links import load_tls
+from carawayvale.machines import EntryInstance
+from carawayvale.machines.tests.world import KEY
+from carawayvale.machines.tests.world import LOOPBACK
+from carawayvale.machines.tests.world import run_world
+from carawayvale.standins import Call
+from carawayvale.standins import Caller
+from carawayvale.standins import Verdict
+
+
+@pytest.fixture(scope="module")
+def files(tmp_path_factory):
+    """Make an authority and a certificate."""
+    folder = tmp_path_factory.mktemp("tls")
+    authority = trustme.CA()
+    certificate = authority.issue_cert("127.0.0.1")
+    names = {
+        "tls_certificate": folder / "chain.pem",
+        "tls_key": folder / "key.pem",
+        "tls_authority": folder / "authority.pem",
+    }
+    certificate.cert_chain_pems[0].write_to_path(names["tls_certificate"])
+    certificate.private_key_pem.write_to_path(names["tls_key"])
+    authority.cert_pem.write_to_path(names["tls_authority"])
+    return {key: str(path) for key, path in names.items()}
+
+
+def make_settings(**options):
+    """Make settings of an entry."""
+    return EntrySettings(
+        name="e2",
+        region="zurich",
+        domain="zurich-a",
+        callers=LOOPBACK,
+        peers=LOOPBACK,
+        operators=LOOPBACK,
+        store=LOOPBACK,
+        **options,
+    )
+
+
+class TestLoadTls:
+    def test_no_files_mean_no_tls(self):
+        assert load_tls(make_settings()).server is None
+
+    def test_every_missing_file_is_found(self):
+        with pytest.raises(InvalidInput) as caught:
+            load_tls(make_settings(tls_key="x"))
+        assert len(caught.value.findings) == 2
+
+    def test_wrong_file_is_found(self, files):
+        wrong = {**files, "tls_key": "/nonexistent"}
+        with pytest.raises(InvalidInput, match="No such file"):
+            load_tls(make_settings(**wrong))
+
+
+class TestTlsDeployment:
+    def test_callers_and_peers_speak_tls(self, files):
+        async def check(world):
+            node = world.entry.node
+            settings = make_settings(seeds=(node.me.peers,), **files)
+            settings = replace(settings, store=world.entry.settings.store)
+            second = EntryInstance(settings, KEY)
+            task = await curio.spawn(second.run)
+            async with curio.timeout_after(10):
+                while len(node.membership.list_serving()) < 2:
+                    await curio.sleep(0.05)
+                while len(node.serving) < 2 or not second.node.is_ready:
+                    await curio.sleep(0.05)
+            assert list(second.peers.links) == ["e1"]
+            context = load_authority(files["tls_authority"])
+            for entry in (world.entry, second):
+                seeds = (entry.node.me.callers,)
+                caller = Caller(seeds, "zurich", ssl=context)
+                for _ in range(3):
+                    result = await caller.call(Call("grids"))
+                    assert result.verdict is Verdict.ANSWERED
+            plain = await world.make_caller().call(
+                Call("grids", timeout_s=1.0)
+            )
+            assert plain.verdict is Verdict.NOT_RUN
+            await task.cancel()
+
+        run_world(check, **files)
--- a/carawayvale/machines/entry.py
+++ b/carawayvale/machines/entry.py
@@ -15,6 +15,7 @@
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links.peers import PeerHooks
 from carawayvale.links.peers import PeerTable
+from carawayvale.links.tls import load_tls
 from carawayvale.machines.caller_port import CallerPort
 from carawayvale.machines.node import Node
 from carawayvale.machines.operator_port import OperatorPort
@@ -96,6 +97,7 @@
         if group.completed is not None and group.completed.exception:
             raise group.completed.exception
         await self.node.pools.keep_only(set())
+        await self.node.peer_pools.keep_only(set())
         log_event(
             "entry_stopped",
             instance=self.settings.name,
@@ -108,8 +110,11 @@
         caller_sock = open_listener(settings.callers)
         peer_sock = open_listener(settings.peers)
         operator_sock = open_listener(settings.operators)
-        self.peer_listener = Listener(peer_sock, self._accept_peer)
-        callers = Listener(caller_sock, self._accept_caller)
+        tls = load_tls(settings)
+        self.peer_listener = Listener(
+            peer_sock, self._accept_peer, ssl=tls.server
+        )
+        callers = Listener(caller_sock, self._accept_caller, ssl=tls.server)
         self.caller_listener = callers
         me = MemberRecord(
             settings.name,
@@ -119,13 +124,14 @@
             self.peer_listener.address,
             make_incarnation(),
         )
-        node = Node(settings, self.key, me, Clock())
+        node = Node(settings, self.key, me, Clock(), tls)
         self.node = node
         self.caller_port = CallerPort(node)
         self.peers = PeerTable(
             self.key,
             settings.seeds,
             node.clock,
+            node.tls.client,
             node.membership,
             node.keeper,
             PeerHooks(
--- a/carawayvale/machines/exchange.py
+++ b/carawayvale/machines/exchange.py
@@ -528,7 +528,7 @@
                 node.key,
                 with_ticket,
             )
-            pool = node.pools.find(record.callers)
+            pool = node.peer_pools.find(record.callers)
             left_s = self.request.deadline_s - began_s
             outbound = self._make_outbound(headers)
             attempt = await send_attempt(pool, outbound, left_s)
--- a/carawayvale/machines/node.py
+++ b/carawayvale/machines/node.py
@@ -24,6 +24,7 @@
 from carawayvale.links.messages import RegionReport
 from carawayvale.links.messages import Reports
 from carawayvale.links.messages import ServiceHeadroom
+from carawayvale.links.tls import TlsContexts
 from carawayvale.machines.connections import ConnectionPools
 from carawayvale.machines.dispatcher import Dispatcher
 from carawayvale.machines.requests import RequestReader
@@ -53,12 +54,14 @@
     :param key: the deployment's key.
     :param me: this instance's own record.
     :param clock: the process's clock.
+    :param tls: contexts for connections with other instances.
     """
 
     settings: EntrySettings
     key: bytes
     me: MemberRecord
     clock: Clock
+    tls: TlsContexts = TlsContexts()
     keeper: DocumentKeeper = field(default_factory=DocumentKeeper)
     book: HeadroomBook = field(default_factory=HeadroomBook)
     metrics: Metrics = field(default_factory=Metrics)
@@ -82,6 +85,7 @@
         self.ledger = TicketLedger(self.me.name, self.me.incarnation)
         self.tracing = Tracing(self.me.name, self.settings.trace_ratio)
         self.pools = ConnectionPools()
+        self.peer_pools = ConnectionPools(self.tls.client)
         self.shifts = ShiftBook(DEFAULT_DEPLOYMENT)
         self.random = random.Random(self.me.incarnation)
 
--- a/carawayvale/standins/caller.py
+++ b/carawayvale/standins/caller.py
@@ -7,6 +7,7 @@
 import json
 import random
 import secrets
+from ssl import SSLContext
 from urllib.parse import urlencode
 
 import curio
@@ -116,18 +117,20 @@
     :param region: the caller's region.
     :param seed: seed of random choices.
     :param max_attempts: how often one call is sent at most.
+    :param ssl: context for TLS, or None.
     """
 
     seeds: tuple[Address, ...]
     region: str
     seed: int = 0
     max_attempts: int = MAX_ATTEMPTS
+    ssl: SSLContext | None = None
     lookups: dict[tuple[str, str], Lookup] = field(default_factory=dict)
     counts: Counter = field(default_factory=Counter)
 
     def __post_init__(self):
         self.random = random.Random(self.seed)
-        self.pools = ConnectionPools()
+        self.pools = ConnectionPools(self.ssl)
 
     async def call(self, call: Call) -> CallResult:
         """Make a call and follow the contract until it ends.
