Charge a shifted request once, where it is served

Cause: credits were spent by the forwarding instance or the serving one, so a cap was divided by the instances of both regions, and a dead region left half of it unused. A region that had not reported yet counted as lost, so callers were steered away from it during the start.

Change: the serving instance spends for every request whose home is another region; the forwarded request carries its home under the deployment's signature. Endpoints of a region without live instances have no owner. A region counts as heard at the start of the process.

Ruled out: serving the lost region's endpoints from other regions, since the cap would then need a third divisor.

--- a/carawayvale/contracts/document.py
+++ b/carawayvale/contracts/document.py
@@ -328,7 +328,8 @@
     epoch_s = next((d.epoch_s for d in deployments), DEFAULT_EPOCH_S)
     for name, link in groups["link"].items():
         regions = [groups["region"].get(region) for region in link.regions]
-        least = sum(r.instances for r in regions if r) / epoch_s
+        least = max((r.instances for r in regions if r), default=0)
+        least /= epoch_s
         if 0 < link.cap_rps < least:
             message = f"must be 0 or at least {least:g}, one an instance"
             yield f"link:{name}", "cap_rps", message
--- a/carawayvale/links/http.py
+++ b/carawayvale/links/http.py
@@ -103,18 +103,22 @@
     address: Address,
     timeout_s: float = CONNECT_TIMEOUT_S,
     ssl: SSLContext | None = None,
+    source: str = "",
 ) -> Socket:
     """Open a TCP connection to an IP address.
 
     :param address: where to connect.
     :param timeout_s: longest wait in seconds.
     :param ssl: context for TLS, or None for plain TCP.
+    :param source: IP address to connect from; empty for any.
     :returns: the connected socket.
     :raises ConnectFailed: if no connection comes about in time.
     """
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     try:
+        if source:
+            sock.bind((source, 0))
         async with curio.timeout_after(timeout_s):
             await sock.connect((address.host, address.port))
             disable_nagle(sock)
--- a/carawayvale/machines/connections.py
+++ b/carawayvale/machines/connections.py
@@ -30,11 +30,18 @@
 
     :param address: where to connect.
     :param ssl: context for TLS, or None.
+    :param source: IP address to connect from; empty for any.
     """
 
-    def __init__(self, address: Address, ssl: SSLContext | None = None):
+    def __init__(
+        self,
+        address: Address,
+        ssl: SSLContext | None = None,
+        source: str = "",
+    ):
         self.address = address
         self.ssl = ssl
+        self.source = source
         self.idle: deque[IdleConnection] = deque()
 
     async def acquire(self, timeout_s: float, fresh: bool) -> HttpClient:
@@ -54,7 +61,8 @@
             if young and not kept.client.has_closed():
                 return kept.client
             await kept.client.close()
-        return HttpClient(await connect(self.address, timeout_s, self.ssl))
+        sock = await connect(self.address, timeout_s, self.ssl, self.source)
+        return HttpClient(sock)
 
     async def release(self, client: HttpClient) -> None:
         """Keep a connection if its exchange is complete, else close it.
@@ -76,10 +84,12 @@
     """Pools by address.
 
     :param ssl: context for TLS, or None.
+    :param source: IP address to connect from; empty for any.
     """
 
-    def __init__(self, ssl: SSLContext | None = None):
+    def __init__(self, ssl: SSLContext | None = None, source: str = ""):
         self.ssl = ssl
+        self.source = source
         self.pools: dict[Address, ConnectionPool] = {}
 
     def find(self, address: Address) -> ConnectionPool:
@@ -90,7 +100,7 @@
         """
         pool = self.pools.get(address)
         if pool is None:
-            pool = ConnectionPool(address, self.ssl)
+            pool = ConnectionPool(address, self.ssl, self.source)
             self.pools[address] = pool
         return pool
 
--- a/carawayvale/machines/exchange.py
+++ b/carawayvale/machines/exchange.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import replace
+from itertools import islice
 import json
 
 import curio
@@ -183,17 +184,14 @@
     async def _route(self) -> Reason | None:
         """Serve the request here or forward it to one that can."""
         region = self.node.me.region
-        reason = await self._try_region(region, self._may_serve_here)
-        if reason is None or reason not in SPILLED or self._is_body_used():
+        reason = await self._serve_here(region)
+        if reason not in SPILLED or self._is_body_used():
             return reason
         if self.request.forwarded:
             return reason
         return await self._route_elsewhere(reason)
 
-    async def _try_region(
-        self, region: str, may_serve: Callable[[], bool]
-    ) -> Reason | None:
-        """Serve the request at endpoints of a region, if owned here."""
+    async def _serve_here(self, region: str) -> Reason | None:
         queue = self._choose_queue(region)
         if queue is None:
             return Reason.NOT_OWNER
@@ -202,7 +200,7 @@
         reason = queue.dispatcher.find_refusal(job, now_s)
         if reason is not None:
             return reason
-        if not may_serve():
+        if not self._may_shift_to(region):
             return Reason.NO_CREDIT
         return await self._run_local(queue, job)
 
@@ -217,47 +215,33 @@
             queues, key=lambda q: q.dispatcher.estimate_wait(rank, now_s)
         )
 
-    def _may_serve_here(self) -> bool:
-        """Spend a credit if the caller's home is another region."""
+    def _may_shift_to(self, region: str) -> bool:
+        """Spend a credit if the caller's home is another region.
+
+        The instance that serves the request spends, so each shifted
+        request is counted once, wherever it came in.
+        """
         request = self.request
-        region = self.node.me.region
-        if request.forwarded or request.home in ("", region):
+        if request.home in ("", region):
             return True
-        return self._spend(request.home, region)
-
-    def _spend(self, source: str, target: str) -> bool:
-        position = self.request.rank.order - 1
+        position = request.rank.order - 1
         now_s = self.node.clock.read()
-        allowed = self.node.shifts.spend(source, target, position, now_s)
+        allowed = self.node.shifts.spend(request.home, region, position, now_s)
         name = "shifts" if allowed else "shifts_refused"
-        self.node.metrics.count(name, f"{source}/{target}")
+        self.node.metrics.count(name, f"{request.home}/{region}")
         return allowed
 
     def _is_body_used(self) -> bool:
         return not self.request.is_buffered and not self.http.body_left
 
     async def _route_elsewhere(self, reason: Reason) -> Reason | None:
-        node = self.node
-        source = node.me.region
         service = self.request.service.name
         is_full = reason is not Reason.NOT_OWNER
-        forwards = 0
-        for remote in list_remotes(node, service, is_full):
-            if forwards >= MAX_FORWARDS:
-                break
-            if remote.region != source:
-                if not self._spend(source, remote.region):
-                    continue
-            forwards += 1
+        remotes = list_remotes(self.node, service, is_full)
+        for remote in islice(remotes, MAX_FORWARDS):
             found = await self._forward(remote)
             if found is not Reason.OWNER_UNREACHABLE:
                 return found
-        for region in node.list_adopted(service):
-            found = await self._try_region(
-                region, lambda r=region: self._spend(source, r)
-            )
-            if found not in SPILLED:
-                return found
         return Reason.NO_CAPACITY if reason is Reason.NOT_OWNER else reason
 
     async def _read_body(self) -> None:
@@ -525,6 +509,7 @@
                 self.request,
                 began_s,
                 node.tracing.format_traceparent(span),
+                node.me.region,
                 node.key,
                 with_ticket,
             )
--- a/carawayvale/machines/node.py
+++ b/carawayvale/machines/node.py
@@ -63,7 +63,6 @@
     clock: Clock
     tls: TlsContexts = TlsContexts()
     keeper: DocumentKeeper = field(default_factory=DocumentKeeper)
-    book: HeadroomBook = field(default_factory=HeadroomBook)
     metrics: Metrics = field(default_factory=Metrics)
     repeats: RepeatFilter = field(default_factory=RepeatFilter)
     queues: dict[str, ShardQueue] = field(default_factory=dict)
@@ -81,7 +80,9 @@
     draining: bool = False
 
     def __post_init__(self):
-        self.membership = Membership(self.me, self.clock.read())
+        began_s = self.clock.read()
+        self.book = HeadroomBook(began_s)
+        self.membership = Membership(self.me, began_s)
         self.ledger = TicketLedger(self.me.name, self.me.incarnation)
         self.tracing = Tracing(self.me.name, self.settings.trace_ratio)
         self.pools = ConnectionPools()
@@ -201,19 +202,6 @@
             and name in self.queues
         ]
 
-    def list_adopted(self, service: str) -> list[str]:
-        """List other regions whose shards are owned here.
-
-        :param service: name of the service.
-        :returns: regions that have no live instance of their own.
-        """
-        regions = {
-            shard.region
-            for shard in self.shard_of.values()
-            if shard.service == service
-        }
-        return sorted(regions - {self.me.region})
-
     def find_budget(self, service: Service) -> RetryBudget:
         """Find the retry budget of a service.
 
--- a/carawayvale/machines/requests.py
+++ b/carawayvale/machines/requests.py
@@ -73,15 +73,18 @@
         return length is not None and length <= BUFFERED_BODY_BYTES
 
 
-def sign_hop(key: bytes, request_id: bytes, caller: bytes) -> bytes:
+def sign_hop(
+    key: bytes, request_id: bytes, caller: bytes, home: bytes
+) -> bytes:
     """Sign the mark of a request that one instance forwards.
 
     :param key: the deployment's key.
     :param request_id: id of the request.
     :param caller: address of the caller.
+    :param home: home region of the caller.
     :returns: the header's value.
     """
-    body = b"hop|" + request_id + b"|" + caller
+    body = b"|".join((b"hop", request_id, caller, home))
     digest = hmac.new(key, body, hashlib.sha256).hexdigest()
     return digest[:HOP_TAG_CHARS].encode("ascii")
 
@@ -114,13 +117,16 @@
         request_id = found.get(names.REQUEST_ID) or make_request_id()
         forwarded = False
         caller = peer
+        home = self.plan.homes.find(peer)
         if names.HOP in found:
             claimed = found.get(names.CALLER_ADDRESS, b"")
-            tag = sign_hop(self.key, request_id, claimed)
+            sender = found.get(names.HOME, b"")
+            tag = sign_hop(self.key, request_id, claimed, sender)
             if not hmac.compare_digest(found[names.HOP], tag):
                 return Error(Reason.BAD_REQUEST)
             forwarded = True
             caller = claimed.decode("ascii")
+            home = sender.decode("ascii")
         ticket = None
         try:
             timeout_s = read_number(found, names.DEADLINE_MS, 0) / MS_PER_S
@@ -148,7 +154,7 @@
                 now_s + limit_s,
                 attempt,
                 caller,
-                self.plan.homes.find(caller),
+                home,
                 forwarded,
                 ticket,
             )
@@ -216,6 +222,7 @@
     request: CallerRequest,
     now_s: float,
     traceparent: bytes,
+    region: str,
     key: bytes,
     with_ticket: bool,
 ) -> Headers:
@@ -224,6 +231,8 @@
     :param request: the request.
     :param now_s: the time.
     :param traceparent: trace context of the hop.
+    :param region: region of this instance, the home of a caller that
+        no network of the document names.
     :param key: the deployment's key.
     :param with_ticket: whether the other instance is to claim the
         submission.
@@ -232,8 +241,11 @@
     attempt = request.attempt
     base = make_backend_headers(request, now_s, attempt, traceparent)
     caller = request.caller.encode("ascii")
+    home = (request.home or region).encode("ascii")
+    tag = sign_hop(key, request.request_id, caller, home)
     base.append((names.CALLER_ADDRESS, caller))
-    base.append((names.HOP, sign_hop(key, request.request_id, caller)))
+    base.append((names.HOME, home))
+    base.append((names.HOP, tag))
     ticket = request.head.find(names.TICKET)
     if ticket is not None and with_ticket:
         base.append((names.TICKET, ticket))
--- a/carawayvale/standins/caller.py
+++ b/carawayvale/standins/caller.py
@@ -118,6 +118,7 @@
     :param seed: seed of random choices.
     :param max_attempts: how often one call is sent at most.
     :param ssl: context for TLS, or None.
+    :param source: IP address to connect from; empty for any.
     """
 
     seeds: tuple[Address, ...]
@@ -125,12 +126,13 @@
     seed: int = 0
     max_attempts: int = MAX_ATTEMPTS
     ssl: SSLContext | None = None
+    source: str = ""
     lookups: dict[tuple[str, str], Lookup] = field(default_factory=dict)
     counts: Counter = field(default_factory=Counter)
 
     def __post_init__(self):
         self.random = random.Random(self.seed)
-        self.pools = ConnectionPools(self.ssl)
+        self.pools = ConnectionPools(self.ssl, self.source)
 
     async def call(self, call: Call) -> CallResult:
         """Make a call and follow the contract until it ends.
--- a/carawayvale/zones/credits.py
+++ b/carawayvale/zones/credits.py
@@ -188,14 +188,16 @@
     def open_epochs(self, now_s: float, counts: Mapping[str, int]) -> None:
         """Begin a new epoch where the old one is over.
 
+        Only instances of the target region spend, so only they divide
+        the cap.
+
         :param now_s: the process's clock.
         :param counts: instances of each region that may spend.
         """
         epoch_s = self.deployment.epoch_s
         for direction, purse in self.purses.items():
             link = self.links[direction]
-            divisor = counts.get(direction.source, 0)
-            divisor += counts.get(direction.target, 0)
+            divisor = counts.get(direction.target, 0)
             allowance = Allowance(
                 link.cap_rps * epoch_s,
                 link.step_rps * epoch_s,
--- a/carawayvale/zones/ownership.py
+++ b/carawayvale/zones/ownership.py
@@ -89,17 +89,15 @@
 ) -> list[Candidate]:
     """Order candidates for a shard, best first.
 
-    Candidates of the shard's failure domain precede the others of its
-    region, which precede those of other regions.
+    Candidates of the shard's failure domain precede the others.
 
     :param shard: the shard to own.
     :param candidates: the live instances.
     :returns: the candidates, best first.
     """
 
-    def rank(candidate: Candidate) -> tuple[bool, bool, int]:
+    def rank(candidate: Candidate) -> tuple[bool, int]:
         return (
-            candidate.region == shard.region,
             candidate.domain == shard.domain,
             score_candidate(shard, candidate),
         )
@@ -151,7 +149,9 @@
     """Assign each shard to one live instance, with a bound on each.
 
     The result depends on the arguments only, so instances with the same
-    view agree without a message.
+    view agree without a message. Endpoints of a region without a live
+    instance have no owner: its requests go to other regions, whose
+    limits then count them.
 
     :param shards: all shards.
     :param candidates: the live instances of all regions.
@@ -164,7 +164,7 @@
     loads = {member.name: 0 for member in members}
     orders = {}
     for region in sorted({shard.region for shard in shards}):
-        local = [m for m in members if m.region == region] or members
+        local = [m for m in members if m.region == region]
         mine = [shard for shard in shards if shard.region == region]
         bound = _bound_shards(len(mine), len(local))
         for shard in mine:
--- a/carawayvale/zones/reports.py
+++ b/carawayvale/zones/reports.py
@@ -24,11 +24,15 @@
 class HeadroomBook:
     """Newest reports of the owners of a region and of other regions.
 
+    :param began_s: start of the process; a region that has not reported
+        yet counts as heard then.
+
     >>> book = HeadroomBook()
     >>> book.find_free("geneva", "grids", 0.0, 3.0)
     0
     """
 
+    began_s: float = 0.0
     owners: dict[str, OwnerReport] = field(default_factory=dict)
     regions: dict[str, RegionReport] = field(default_factory=dict)
     arrived_s: dict[str, float] = field(default_factory=dict)
@@ -113,8 +117,7 @@
         :param age_s: age from which on a report is ignored.
         :returns: whether its report is fresh.
         """
-        arrived = self.arrived_s.get(region)
-        return arrived is not None and now_s - arrived <= age_s
+        return now_s - self.arrived_s.get(region, self.began_s) <= age_s
 
     def find_owner_free(self, name: str, service: str, now_s: float) -> int:
         """Find the free slots of a service at one owner.
