Forward again from instances that own no shard, and follow shifts

Cause: two reasons were not among those that lead to another instance, so an instance without a shard of the service refused with not_owner in place of forwarding. Callers' repeats through alternates had hidden it; the measurement of a forwarder found no answer at all.

Change: both reasons lead on. A request that may not be shifted goes back to its home region. Planned shifts move their share of the look-ups. A new instance waits a moment for its peers before it reads the whole document from the store; tables of networks are kept while they do not change.

--- a/carawayvale/commands/tests/test_processes.py
+++ b/carawayvale/commands/tests/test_processes.py
@@ -19,6 +19,7 @@
 from carawayvale.platform import EditStatus
 from carawayvale.platform import HttpStore
 from carawayvale.standins import Call
+from carawayvale.standins import Caller
 from carawayvale.standins import Verdict
 
 REGION_EDIT = Edit("region:zurich", "platform", {"limit": "59"})
@@ -27,6 +28,7 @@
 WARM_S = 2.0
 STEP_RPS = 12
 GENEVA = "127.11.0.9"
+ZURICH = "127.10.0.9"
 
 
 @pytest.fixture(scope="class")
@@ -89,6 +91,11 @@
             assert count == 1, made
 
 
+def is_cut(reason):
+    """Tell whether an attempt ended without an answer."""
+    return reason.startswith("broken") or "failed" in reason
+
+
 class TestDocumentEverywhere:
     def open_editor(self, deployment):
         """Open an editor of the deployment's store."""
@@ -255,6 +262,34 @@
         assert small.is_whole(SMALL)
 
 
+class TestForwarding:
+    def test_any_instance_of_the_region_answers_at_once(self, small):
+        time.sleep(WARM_S)
+
+        async def ask(name, service):
+            port = small.ports[name]["callers"]
+            address = Address("127.0.0.1", port)
+            caller = Caller((address,), "zurich")
+            headers = [
+                (b"host", service.encode()),
+                (b"carawayvale-request-id", b"r"),
+            ]
+            try:
+                return await caller.send(
+                    address, "GET", "/", headers, b"", 5.0
+                )
+            finally:
+                await caller.close()
+
+        servers = set()
+        for name in SMALL[:3]:
+            for service in ("grids", "clues", "submissions", "archive"):
+                reply = curio.run(ask, name, service)
+                assert reply.head.status == 200, reply
+                servers.add(reply.head.find(b"carawayvale-served-by"))
+        assert len(servers) == 3
+
+
 class TestDrains:
     def test_rolling_restart_fails_no_request(self, small):
         with Load(small, MIX) as load:
@@ -271,6 +306,8 @@
                 small.wait_until_whole()
         assert len(load.made) > 100
         assert load.list_bad() == []
+        cut = [m for m in load.made if is_cut(m.result.reason)]
+        assert cut == []
         check_ledgers(small, load)
 
     def test_backend_drained_by_the_document_gets_no_new_work(self, small):
@@ -327,6 +364,35 @@
             assert 'waited_for="1 requests in flight"' in log
 
 
+class TestShifts:
+    def test_planned_shift_follows_the_step_and_fails_nobody(self, tmp_path):
+        shift = (
+            "\n[shift:away]\nowner = platform\nservice = grids\n"
+            "source = zurich\ntarget = geneva\nshare = 1\n"
+        )
+
+        def plan(text):
+            text = text.replace("instances = 7", "instances = 3")
+            return text.replace("step_rps = 40", f"step_rps = {STEP_RPS}")
+
+        with Deployment(tmp_path, SMALL, plan) as deployment:
+            time.sleep(WARM_S + 3.0)
+            path = tmp_path / "shift.ini"
+            path.write_text(shift.partition("]")[2])
+            result = deployment.edit("shift:away", "--file", str(path))
+            assert result.returncode == 0, result.stderr
+            calls = [Call("grids")]
+            with Load(
+                deployment, calls, 12, 0.05, "zurich", source=ZURICH
+            ) as load:
+                time.sleep(6.0)
+            ledgers = deployment.read_ledgers("grids-geneva-.*").values()
+            moved = sum(ledger["served"] for ledger in ledgers)
+        assert load.list_bad() == []
+        assert 0 < moved <= STEP_RPS * sum(range(1, 9))
+        assert moved < len(load.made)
+
+
 class TestAtMostOnce:
     @pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
     def test_owner_lost_in_the_midst_of_submissions(self, tmp_path, number):
--- a/carawayvale/machines/caller_port.py
+++ b/carawayvale/machines/caller_port.py
@@ -178,6 +178,9 @@
     ) -> tuple[tuple[LookupTarget, ...], str]:
         """Find targets in the asked region or, without any, another."""
         service = question.service
+        shifted = self._list_shifted(service, question.region)
+        if shifted is not None:
+            return shifted
         targets = self._list_cached(service, question.region)
         if self._is_usable(targets, question.region):
             return targets, question.region
@@ -187,6 +190,18 @@
                 return others, region
         return targets, question.region
 
+    def _list_shifted(
+        self, service: str, source: str
+    ) -> tuple[tuple[LookupTarget, ...], str] | None:
+        """Follow a planned shift for its share of the look-ups."""
+        shift = self.node.plan.find_shift(service, source)
+        if shift is None or self.node.random.random() >= shift.share:
+            return None
+        targets = self._list_cached(service, shift.target)
+        if not self._is_usable(targets, shift.target):
+            return None
+        return targets, shift.target
+
     def _is_usable(
         self, targets: tuple[LookupTarget, ...], region: str
     ) -> bool:
--- a/carawayvale/machines/exchange.py
+++ b/carawayvale/machines/exchange.py
@@ -57,7 +57,15 @@
     AttemptResult.REFUSED_NOT_RUN: Reason.BACKEND_REFUSED,
     AttemptResult.BROKEN: Reason.BACKEND_BROKEN,
 }
-SPILLED = frozenset({Reason.NO_CAPACITY, Reason.QUEUE_FULL, Reason.DEADLINE})
+SPILLED = frozenset(
+    {
+        Reason.NOT_OWNER,
+        Reason.NO_CREDIT,
+        Reason.NO_CAPACITY,
+        Reason.QUEUE_FULL,
+        Reason.DEADLINE,
+    }
+)
 NEVER_STARTED = Attempt(AttemptResult.UNSENT, cause="ticket expired")
 
 
@@ -235,9 +243,10 @@
         return not self.request.is_buffered and not self.http.body_left
 
     async def _route_elsewhere(self, reason: Reason) -> Reason | None:
-        service = self.request.service.name
-        is_full = reason is not Reason.NOT_OWNER
-        remotes = list_remotes(self.node, service, is_full)
+        request = self.request
+        remotes = list_remotes(
+            self.node, request.service.name, reason, request.home
+        )
         for remote in islice(remotes, MAX_FORWARDS):
             found = await self._forward(remote)
             if found is not Reason.OWNER_UNREACHABLE:
--- a/carawayvale/machines/node.py
+++ b/carawayvale/machines/node.py
@@ -102,7 +102,7 @@
             return
         plan = self.plan
         if plan is None or plan.document is not document:
-            plan = await curio.run_in_thread(make_plan, document)
+            plan = await curio.run_in_thread(make_plan, document, plan)
         serving = self.list_serving()
         candidates = [
             Candidate(record.name, record.region, record.domain)
--- a/carawayvale/machines/steering.py
+++ b/carawayvale/machines/steering.py
@@ -2,30 +2,36 @@
 
 from collections.abc import Iterator
 
+from carawayvale.contracts.reasons import Reason
 from carawayvale.links.messages import MemberRecord
 from carawayvale.machines.node import Node
 
 
 def list_remotes(
-    node: Node, service: str, is_full: bool
+    node: Node, service: str, reason: Reason, home: str
 ) -> Iterator[MemberRecord]:
     """List other instances that can serve a request, best first.
 
-    Owners of the own region come first, those with free slots before
-    the others. Then come owners in regions with a fresh report of free
-    slots, the region with the most free ones first.
+    A request that may not be shifted goes back to its home region.
+    Otherwise owners of the own region come first, those with free slots
+    before the others; then owners in regions with a fresh report of
+    free slots, the region with the most free ones first.
 
     :param node: the instance.
     :param service: the service.
-    :param is_full: whether this instance owns a part of the pool that
-        has no free slot; then only owners that report free slots are
-        listed, since others would refuse as well.
+    :param reason: why this instance does not serve it. If it owns a
+        part of the pool, only owners that report free slots are listed,
+        since others would refuse as well.
+    :param home: home region of the request, or empty.
     :returns: records of the instances.
     """
+    if reason is Reason.NO_CREDIT:
+        yield from list_owners(node, service, home)
+        return
     now_s = node.clock.read()
     for record in list_owners(node, service, node.me.region):
         free = node.book.find_owner_free(record.name, service, now_s)
-        if free or not is_full:
+        if free or reason is Reason.NOT_OWNER:
             yield record
     for region in list_regions(node, service):
         yield from list_owners(node, service, region)
--- a/carawayvale/platform/watcher.py
+++ b/carawayvale/platform/watcher.py
@@ -23,6 +23,7 @@
 MAX_RETRY_S = 8.0
 ROLE_CHECK_S = 1.0
 LIST_READ_S = 1.0
+FIRST_READ_S = 0.5
 
 
 @dataclass
@@ -82,6 +83,10 @@
         self.retry_s = min(MAX_RETRY_S, 2 * self.retry_s)
 
     async def _follow(self) -> None:
+        if not self.keeper.revision:
+            # Peers that hold the document are faster than the store,
+            # and many instances that start spare it their reads.
+            await curio.sleep(self.random.uniform(0, FIRST_READ_S))
         if not self.keeper.revision:
             await self._read_whole()
             if not self.keeper.revision:
--- a/carawayvale/zones/blocks.py
+++ b/carawayvale/zones/blocks.py
@@ -94,8 +94,9 @@
     """
 
     def __init__(self, blocks: Iterable[NamedBlock]):
+        self.blocks = tuple(blocks)
         split: dict[int, list[Segment]] = {4: [], 6: []}
-        for block in blocks:
+        for block in self.blocks:
             network = ipaddress.ip_network(block.network)
             first = int(network.network_address)
             last = first + network.num_addresses - 1
--- a/carawayvale/zones/plan.py
+++ b/carawayvale/zones/plan.py
@@ -8,6 +8,7 @@
 from carawayvale.contracts.sections import Rank
 from carawayvale.contracts.sections import Route
 from carawayvale.contracts.sections import Service
+from carawayvale.contracts.sections import Shift
 from carawayvale.zones.blocks import BlockTable
 from carawayvale.zones.blocks import NamedBlock
 from carawayvale.zones.limits import allot_document
@@ -66,6 +67,18 @@
         """Services by name."""
         return self.document.by_kind["service"]
 
+    def find_shift(self, service: str, source: str) -> Shift | None:
+        """Find the planned shift of a service out of a region.
+
+        :param service: name of the service.
+        :param source: the region.
+        :returns: the shift, or None.
+        """
+        for shift in self.document.by_kind["shift"].values():
+            if (shift.service, shift.source) == (service, source):
+                return shift
+        return None
+
     def classify(
         self, service: Service, method: str, path: str, caller: str
     ) -> Treatment:
@@ -91,10 +104,12 @@
         return Treatment(self.ranks[service.rank], idempotent)
 
 
-def make_plan(document: Document) -> Plan:
+def make_plan(document: Document, known: Plan | None = None) -> Plan:
     """Derive a plan from a document.
 
     :param document: a valid document.
+    :param known: an earlier plan, whose tables are kept where their
+        networks did not change.
     :returns: the plan.
     """
     groups = document.by_kind
@@ -108,11 +123,24 @@
         list_shards(document),
         allot_document(document),
         {name: tuple(listed) for name, listed in routes.items()},
-        BlockTable(list_blocks(groups["region"])),
-        BlockTable(list_blocks(groups["caller"])),
+        make_table(groups["region"], known.homes if known else None),
+        make_table(groups["caller"], known.classes if known else None),
     )
 
 
+def make_table(sections: Mapping, known: BlockTable | None) -> BlockTable:
+    """Make the table of sections' networks, or keep the known one.
+
+    :param sections: sections with ``blocks``, by name.
+    :param known: the table made last, or None.
+    :returns: the table.
+    """
+    blocks = list_blocks(sections)
+    if known is not None and known.blocks == blocks:
+        return known
+    return BlockTable(blocks)
+
+
 def rank_route(route: Route) -> tuple[int, bool, bool, str]:
     """Give the place of a route among others, the most specific first.
 
@@ -127,14 +155,14 @@
     )
 
 
-def list_blocks(sections: Mapping) -> list[NamedBlock]:
+def list_blocks(sections: Mapping) -> tuple[NamedBlock, ...]:
     """List the networks of regions or caller classes.
 
     :param sections: sections with ``blocks``, by name.
     :returns: the networks with the sections' names.
     """
-    return [
+    return tuple(
         NamedBlock(network, name)
         for name, section in sections.items()
         for network in section.blocks
-    ]
+    )
