Lose no slot when hedged copies fail, and split the exchange

Cause: a copy that failed, or ended as the other one won, never gave its slot back; a test with both servers failing left slots in use for good. After a failed attempt a stale job waited its whole max_wait again.

Change: every copy that ends unused is discarded. A retry waits only what is left of the job's patience. The exchange is split into what is known of a request, its attempts at an owned shard, and the writing of answers; whole exchanges over pooled connections stand in one place.

--- a/carawayvale/commands/client.py
+++ b/carawayvale/commands/client.py
@@ -1,18 +1,17 @@
 """Calls of the command line to entry instances."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 import json
 from typing import Any
 
 import curio
 
 from carawayvale.contracts.fields import Address
-from carawayvale.links.http import AnswerHead
-from carawayvale.links.http import connect
+from carawayvale.links.connections import ConnectionPool
+from carawayvale.links.connections import OutgoingCall
+from carawayvale.links.connections import Reply
 from carawayvale.links.http import ConnectionBroken
 from carawayvale.links.http import Headers
-from carawayvale.links.http import HttpClient
 
 TIMEOUT_S = 3.0
 MAX_BODY_BYTES = 64_000_000
@@ -23,21 +22,6 @@
     """A process did not answer."""
 
 
-@dataclass(frozen=True)
-class Answer:
-    """An answer with its body."""
-
-    head: AnswerHead
-    body: bytes
-
-    def decode(self) -> Any:
-        """Decode a JSON body.
-
-        :returns: the decoded body.
-        """
-        return json.loads(self.body)
-
-
 async def send_call(
     address: Address,
     method: str,
@@ -45,7 +29,7 @@
     headers: Headers | None = None,
     body: bytes = b"",
     timeout_s: float = TIMEOUT_S,
-) -> Answer:
+) -> Reply:
     """Make one call over a new connection.
 
     :param address: where to send it.
@@ -57,19 +41,15 @@
     :returns: the answer.
     :raises Unreachable: if there is none in time.
     """
+    call = OutgoingCall(method, target, headers or [HOST], body)
+    pool = ConnectionPool(address)
     try:
-        async with curio.timeout_after(timeout_s):
-            client = HttpClient(await connect(address))
-            try:
-                listed = headers or [HOST]
-                await client.send_request(method, target, listed, body)
-                head = await client.read_head()
-                return Answer(head, await client.read_body(MAX_BODY_BYTES))
-            finally:
-                await client.close()
+        return await pool.exchange(call, timeout_s, MAX_BODY_BYTES)
     except (ConnectionBroken, curio.TaskTimeout) as error:
         cause = str(error) or "no answer in time"
         raise Unreachable(f"{address}: {cause}") from None
+    finally:
+        await pool.close()
 
 
 async def read_state(address: Address) -> Any:
@@ -79,7 +59,7 @@
     :returns: the decoded state, or None if it does not answer.
     """
     try:
-        return (await send_call(address, "GET", "/state")).decode()
+        return json.loads((await send_call(address, "GET", "/state")).body)
     except (Unreachable, ValueError):
         return None
 
--- a/carawayvale/commands/main.py
+++ b/carawayvale/commands/main.py
@@ -1,5 +1,6 @@
 """The command ``carawayvale``."""
 
+import json
 import sys
 from urllib.parse import urlencode
 import warnings
@@ -121,7 +122,7 @@
         answer = curio.run(send_call, read_address(entry), "GET", target)
         if answer.head.status != 200:
             fail(ExitStatus.FAILED, answer.body.decode())
-        print_json(answer.decode())
+        print_json(json.loads(answer.body))
 
     def call(
         self,
@@ -187,7 +188,7 @@
         """
         address = read_address(entry)
         answer = curio.run(send_call, address, "POST", "/drain")
-        print_json(answer.decode())
+        print_json(json.loads(answer.body))
 
     def demo(
         self, document: str = DEFAULT_DOCUMENT, seconds: float = 8.0
--- a/carawayvale/links/__init__.py
+++ b/carawayvale/links/__init__.py
@@ -1,5 +1,10 @@
 """Connections between processes: HTTP, peer links, membership, spreading."""
 
+from carawayvale.links.connections import ConnectionPool
+from carawayvale.links.connections import ConnectionPools
+from carawayvale.links.connections import IdleConnection
+from carawayvale.links.connections import OutgoingCall
+from carawayvale.links.connections import Reply
 from carawayvale.links.http import AnswerHead
 from carawayvale.links.http import BadRequest
 from carawayvale.links.http import connect
@@ -89,6 +94,8 @@
     "connect",
     "ConnectFailed",
     "ConnectionBroken",
+    "ConnectionPool",
+    "ConnectionPools",
     "CreditGrant",
     "decode_message",
     "describe_change",
@@ -106,6 +113,7 @@
     "Hello",
     "HttpClient",
     "HttpServer",
+    "IdleConnection",
     "LinkBroken",
     "LinkClosed",
     "LinkRefused",
@@ -121,6 +129,7 @@
     "MemberState",
     "open_listener",
     "OpenLink",
+    "OutgoingCall",
     "pack_message",
     "PeerHooks",
     "PeerLink",
@@ -131,6 +140,7 @@
     "read_json",
     "RegionReport",
     "register_message",
+    "Reply",
     "Reports",
     "RequestHead",
     "Sections",
--- a/carawayvale/machines/connections.py
+++ b/carawayvale/links/connections.py
@@ -4,9 +4,14 @@
 from dataclasses import dataclass
 from ssl import SSLContext
 
+import curio
+
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.contracts.fields import Address
+from carawayvale.links.http import AnswerHead
 from carawayvale.links.http import connect
+from carawayvale.links.http import CONNECT_TIMEOUT_S
+from carawayvale.links.http import Headers
 from carawayvale.links.http import HttpClient
 
 IDLE_LIMIT_S = 20.0
@@ -22,6 +27,30 @@
     since_s: float
 
 
+@dataclass(frozen=True)
+class OutgoingCall:
+    """A request whose body is at hand.
+
+    :param method: HTTP method.
+    :param target: path and query.
+    :param headers: headers without the length.
+    :param body: the body.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes = b""
+
+
+@dataclass(frozen=True)
+class Reply:
+    """A whole answer."""
+
+    head: AnswerHead
+    body: bytes
+
+
 class ConnectionPool:
     """Idle connections to one address, the newest used first.
 
@@ -74,6 +103,38 @@
         else:
             await client.close()
 
+    async def exchange(
+        self,
+        call: OutgoingCall,
+        timeout_s: float,
+        limit: int,
+        fresh: bool = False,
+    ) -> Reply:
+        """Send a whole request and read its whole answer.
+
+        :param call: the request.
+        :param timeout_s: longest time in seconds.
+        :param limit: most bytes of the answer's body.
+        :param fresh: see :meth:`acquire`.
+        :returns: the answer.
+        :raises ConnectionBroken: if the connection ends first.
+        :raises curio.TaskTimeout: if the time is over first.
+        """
+        async with curio.timeout_after(timeout_s):
+            connect_s = min(CONNECT_TIMEOUT_S, timeout_s)
+            client = await self.acquire(connect_s, fresh)
+            try:
+                await client.send_request(
+                    call.method, call.target, call.headers, call.body
+                )
+                head = await client.read_head()
+                body = await client.read_body(limit)
+            except BaseException:
+                await client.close()
+                raise
+            await self.release(client)
+        return Reply(head, body)
+
     async def close(self) -> None:
         """Close all idle connections."""
         while self.idle:
--- a/carawayvale/machines/__init__.py
+++ b/carawayvale/machines/__init__.py
@@ -1,5 +1,8 @@
 """Entry instances: queues, slots, connections, exchanges and tasks."""
 
+from carawayvale.machines.answers import AnswerWriter
+from carawayvale.machines.answers import read_reason
+from carawayvale.machines.answers import send_refusal
 from carawayvale.machines.attempts import Attempt
 from carawayvale.machines.attempts import judge_answer
 from carawayvale.machines.attempts import Outbound
@@ -7,9 +10,6 @@
 from carawayvale.machines.attempts import send_cancel
 from carawayvale.machines.caller_port import CallerPort
 from carawayvale.machines.caller_port import LookupQuestion
-from carawayvale.machines.connections import ConnectionPool
-from carawayvale.machines.connections import ConnectionPools
-from carawayvale.machines.connections import IdleConnection
 from carawayvale.machines.dispatcher import Dispatcher
 from carawayvale.machines.dispatcher import Grant
 from carawayvale.machines.dispatcher import Job
@@ -18,9 +18,7 @@
 from carawayvale.machines.entry import make_incarnation
 from carawayvale.machines.entry import settle_memory
 from carawayvale.machines.exchange import Exchange
-from carawayvale.machines.exchange import read_reason
 from carawayvale.machines.exchange import refuse_claim
-from carawayvale.machines.exchange import send_refusal
 from carawayvale.machines.hedging import Hedge
 from carawayvale.machines.node import Node
 from carawayvale.machines.operator_port import begin_drain
@@ -34,6 +32,7 @@
 from carawayvale.machines.operator_port import sign_document
 from carawayvale.machines.operator_port import take_document
 from carawayvale.machines.prober import Prober
+from carawayvale.machines.progress import Progress
 from carawayvale.machines.requests import CallerRequest
 from carawayvale.machines.requests import copy_answer_headers
 from carawayvale.machines.requests import copy_end_to_end
@@ -47,6 +46,8 @@
 from carawayvale.machines.requests import read_number
 from carawayvale.machines.requests import RequestReader
 from carawayvale.machines.requests import sign_hop
+from carawayvale.machines.serving import find_failure
+from carawayvale.machines.serving import OwnerRun
 from carawayvale.machines.shard_queue import ShardQueue
 from carawayvale.machines.slots import EndpointSlots
 from carawayvale.machines.steering import list_owners
@@ -54,22 +55,21 @@
 from carawayvale.machines.steering import list_remotes
 
 __all__ = (
+    "AnswerWriter",
     "Attempt",
     "begin_drain",
     "CallerPort",
     "CallerRequest",
-    "ConnectionPool",
-    "ConnectionPools",
     "copy_answer_headers",
     "copy_end_to_end",
     "Dispatcher",
     "EndpointSlots",
     "EntryInstance",
     "Exchange",
+    "find_failure",
     "Grant",
     "handle_call",
     "Hedge",
-    "IdleConnection",
     "is_echo",
     "Job",
     "judge_answer",
@@ -86,7 +86,9 @@
     "Node",
     "OperatorPort",
     "Outbound",
+    "OwnerRun",
     "Prober",
+    "Progress",
     "RankQueue",
     "read_cancel_target",
     "read_number",
--- a/carawayvale/machines/attempts.py
+++ b/carawayvale/machines/attempts.py
@@ -8,12 +8,13 @@
 
 from carawayvale.contracts import headers as names
 from carawayvale.contracts.retries import AttemptResult
+from carawayvale.links.connections import ConnectionPool
+from carawayvale.links.connections import OutgoingCall
 from carawayvale.links.http import AnswerHead
 from carawayvale.links.http import ConnectFailed
 from carawayvale.links.http import ConnectionBroken
 from carawayvale.links.http import Headers
 from carawayvale.links.http import HttpClient
-from carawayvale.machines.connections import ConnectionPool
 from carawayvale.machines.requests import is_echo
 from carawayvale.machines.requests import make_cancel_target
 
@@ -152,16 +153,8 @@
     :param request_id: id of the request.
     """
     target = make_cancel_target(request_id)
+    call = OutgoingCall("DELETE", target, CANCEL_HEADERS)
     try:
-        async with curio.timeout_after(CONNECT_LIMIT_S):
-            client = await pool.acquire(CONNECT_LIMIT_S, False)
-            try:
-                await client.send_request("DELETE", target, CANCEL_HEADERS)
-                await client.read_head()
-                await client.read_body(BUFFERED_ANSWER_BYTES)
-            except BaseException:
-                await client.close()
-                raise
-            await pool.release(client)
+        await pool.exchange(call, CONNECT_LIMIT_S, BUFFERED_ANSWER_BYTES)
     except (ConnectionBroken, curio.TaskTimeout):
         return
--- a/carawayvale/machines/caller_port.py
+++ b/carawayvale/machines/caller_port.py
@@ -17,8 +17,8 @@
 from carawayvale.links.http import HttpServer
 from carawayvale.links.http import RequestHead
 from carawayvale.links.requests import serve_requests
+from carawayvale.machines.answers import send_refusal
 from carawayvale.machines.exchange import Exchange
-from carawayvale.machines.exchange import send_refusal
 from carawayvale.machines.node import Node
 from carawayvale.zones.lookups import list_targets
 from carawayvale.zones.lookups import LookupTarget
--- a/carawayvale/machines/hedging.py
+++ b/carawayvale/machines/hedging.py
@@ -19,12 +19,14 @@
     :param take: takes a slot for the second copy, or None.
     :param send: sends a copy with a grant.
     :param cancel: tells a backend server that its copy has lost.
+    :param discard: gives back the slot of a copy that ended, unused.
     """
 
     delay_s: float
     take: Callable[[], Grant | None]
     send: Callable[[Grant], Awaitable[Attempt]]
     cancel: Callable[[Grant], Awaitable[None]]
+    discard: Callable[[Grant, Attempt], Awaitable[None]]
 
     async def run(self, grant: Grant) -> tuple[Grant, Attempt]:
         """Send the first copy and, if it is slow, the second.
@@ -55,13 +57,16 @@
             attempt = done.result
             answered = attempt.result is AttemptResult.ANSWERED
             if answered or not grants:
-                await self._cancel_all(grants)
+                await self._end_all(grants)
                 return grant, attempt
+            await self.discard(grant, attempt)
             done = await group.next_done()
 
-    async def _cancel_all(self, grants: dict[curio.Task, Grant]) -> None:
+    async def _end_all(self, grants: dict[curio.Task, Grant]) -> None:
+        """End the other copies; a cancelled one gives its slot back."""
         for task, grant in grants.items():
-            if task.terminated:
-                continue
             await task.cancel()
-            await curio.spawn(self.cancel, grant, daemon=True)
+            if task.exception is None:
+                await self.discard(grant, task.result)
+            else:
+                await curio.spawn(self.cancel, grant, daemon=True)
--- a/carawayvale/machines/node.py
+++ b/carawayvale/machines/node.py
@@ -13,6 +13,7 @@
 from carawayvale.contracts.sections import Service
 from carawayvale.contracts.settings import EntrySettings
 from carawayvale.contracts.tickets import TicketLedger
+from carawayvale.links.connections import ConnectionPools
 from carawayvale.links.keeper import DocumentKeeper
 from carawayvale.links.membership import elect
 from carawayvale.links.membership import Membership
@@ -25,7 +26,6 @@
 from carawayvale.links.messages import Reports
 from carawayvale.links.messages import ServiceHeadroom
 from carawayvale.links.tls import TlsContexts
-from carawayvale.machines.connections import ConnectionPools
 from carawayvale.machines.dispatcher import Dispatcher
 from carawayvale.machines.requests import RequestReader
 from carawayvale.machines.shard_queue import ShardQueue
@@ -187,19 +187,16 @@
             for slots in queue.dispatcher.slots.values():
                 slots.since_s = now_s
 
-    def list_local(self, service: str, region: str) -> list[ShardQueue]:
-        """List the queues of a pool's shards that are owned here.
+    def list_local(self, service: str) -> list[ShardQueue]:
+        """List the queues of the service's shards that are owned here.
 
         :param service: name of the service.
-        :param region: region of the endpoints.
         :returns: the queues.
         """
         return [
             self.queues[name]
             for name, shard in self.shard_of.items()
-            if shard.service == service
-            and shard.region == region
-            and name in self.queues
+            if shard.service == service and name in self.queues
         ]
 
     def find_budget(self, service: Service) -> RetryBudget:
@@ -235,7 +232,7 @@
         return self.has_role(ROLE_WATCHER, deployment.watchers)
 
     def measure_headroom(self) -> tuple[ServiceHeadroom, ...]:
-        """Measure the headroom of the own region's shards owned here.
+        """Measure the headroom of the shards owned here.
 
         :returns: headroom by service.
         """
@@ -244,7 +241,7 @@
         usable: dict[str, int] = {}
         for name, shard in self.shard_of.items():
             queue = self.queues.get(name)
-            if queue is None or shard.region != self.me.region:
+            if queue is None:
                 continue
             dispatcher = queue.dispatcher
             slots = dispatcher.count_usable(now_s)
--- a/carawayvale/machines/prober.py
+++ b/carawayvale/machines/prober.py
@@ -4,8 +4,8 @@
 
 from carawayvale.contracts.fields import Address
 from carawayvale.contracts import headers as names
+from carawayvale.links.connections import OutgoingCall
 from carawayvale.links.http import ConnectionBroken
-from carawayvale.links.http import HttpClient
 from carawayvale.machines.node import Node
 from carawayvale.machines.slots import EndpointSlots
 
@@ -57,21 +57,11 @@
         :returns: whether it answers that it takes work.
         """
         pool = self.node.pools.find(address)
+        call = OutgoingCall("GET", names.HEALTH_PATH, HOST_HEADERS)
         try:
-            async with curio.timeout_after(PROBE_TIMEOUT_S):
-                client = await pool.acquire(PROBE_TIMEOUT_S, True)
-                try:
-                    status = await self._ask(client)
-                except BaseException:
-                    await client.close()
-                    raise
+            reply = await pool.exchange(
+                call, PROBE_TIMEOUT_S, MAX_BODY_BYTES, True
+            )
         except (ConnectionBroken, curio.TaskTimeout):
             return False
-        await pool.release(client)
-        return status == HTTP_OK
-
-    async def _ask(self, client: HttpClient) -> int:
-        await client.send_request("GET", names.HEALTH_PATH, HOST_HEADERS)
-        head = await client.read_head()
-        await client.read_body(MAX_BODY_BYTES)
-        return head.status
+        return reply.head.status == HTTP_OK
--- a/carawayvale/machines/shard_queue.py
+++ b/carawayvale/machines/shard_queue.py
@@ -60,14 +60,14 @@
         if job in self.grants:
             return self.grants.pop(job)
         queue = self.dispatcher.find_queue(job.rank)
-        rank = queue.rank
         left_s = job.deadline_s - queue.cost_s - now_s
-        event = self.waiters[job] = curio.Event()
+        patience_s = job.queued_s + queue.rank.max_wait_s - now_s
         reason = Reason.DEADLINE
-        if rank.max_wait_s < left_s:
-            left_s, reason = rank.max_wait_s, Reason.QUEUE_FULL
+        if patience_s < left_s:
+            left_s, reason = patience_s, Reason.QUEUE_FULL
+        event = self.waiters[job] = curio.Event()
         try:
-            await curio.ignore_after(left_s, event.wait)
+            await curio.ignore_after(max(0.0, left_s), event.wait)
         except curio.CancelledError:
             await self._abandon(job)
             raise
--- a/carawayvale/machines/tests/test_exchange.py
+++ b/carawayvale/machines/tests/test_exchange.py
@@ -38,6 +38,20 @@
 
         run_world(check, 5.0, HEDGED)
 
+    def test_no_slot_is_lost_when_copies_fail(self):
+        async def check(world):
+            for server in world.backends.values():
+                server.faults.delay_s = 0.2
+                server.faults.mode = "break"
+            caller = world.make_caller()
+            for _ in range(4):
+                await caller.call(Call("grids"))
+            await curio.sleep(0.5)
+            queue = next(iter(world.entry.node.queues.values()))
+            assert queue.dispatcher.in_flight == 0
+
+        run_world(check, 5.0, HEDGED)
+
     def test_submission_is_never_sent_twice(self):
         async def check(world):
             for server in world.backends.values():
--- a/carawayvale/platform/http_store.py
+++ b/carawayvale/platform/http_store.py
@@ -7,9 +7,9 @@
 import curio
 
 from carawayvale.contracts.fields import Address
-from carawayvale.links.http import connect
+from carawayvale.links.connections import ConnectionPool
+from carawayvale.links.connections import OutgoingCall
 from carawayvale.links.http import ConnectionBroken
-from carawayvale.links.http import HttpClient
 from carawayvale.platform.store import ListedInstance
 from carawayvale.platform.store import register_store
 from carawayvale.platform.store import Store
@@ -23,6 +23,7 @@
 HTTP_NO_CONTENT = 204
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
+HTTP_SERVER_ERROR = 500
 JSON_HEADERS = [(b"host", b"store"), (b"content-type", b"application/json")]
 
 
@@ -35,7 +36,7 @@
 
     def __init__(self, address: Address):
         super().__init__(address)
-        self.idle: list[HttpClient] = []
+        self.pool = ConnectionPool(address)
         self.calls = 0
 
     async def _call(
@@ -47,36 +48,15 @@
     ) -> tuple[int, Any]:
         self.calls += 1
         data = b"" if body is None else json.dumps(body).encode()
+        call = OutgoingCall(method, target, JSON_HEADERS, data)
         try:
-            async with curio.timeout_after(timeout_s):
-                return await self._exchange(method, target, data)
+            reply = await self.pool.exchange(call, timeout_s, MAX_ANSWER_BYTES)
         except (ConnectionBroken, curio.TaskTimeout) as error:
             raise StoreUnavailable(f"{self.address}: {error}") from None
-
-    async def _exchange(
-        self, method: str, target: str, data: bytes
-    ) -> tuple[int, Any]:
-        while self.idle:
-            client = self.idle.pop()
-            if not client.has_closed():
-                break
-            await client.close()
-        else:
-            client = HttpClient(await connect(self.address))
-        try:
-            await client.send_request(method, target, JSON_HEADERS, data)
-            head = await client.read_head()
-            answer = await client.read_body(MAX_ANSWER_BYTES)
-        except BaseException:
-            await client.close()
-            raise
-        if client.reset():
-            self.idle.append(client)
-        else:
-            await client.close()
-        if head.status >= 500:
-            raise ConnectionBroken(f"status {head.status}")
-        return head.status, json.loads(answer) if answer else None
+        status = reply.head.status
+        if status >= HTTP_SERVER_ERROR:
+            raise StoreUnavailable(f"{self.address}: status {status}")
+        return status, json.loads(reply.body) if reply.body else None
 
     async def read(self, key: str) -> StoredValue | None:
         """Read a value; see :class:`Store`."""
@@ -118,5 +98,4 @@
 
     async def close(self) -> None:
         """Close the idle connections."""
-        while self.idle:
-            await self.idle.pop().close()
+        await self.pool.close()
--- a/carawayvale/standins/__init__.py
+++ b/carawayvale/standins/__init__.py
@@ -17,7 +17,6 @@
 from carawayvale.standins.caller import Caller
 from carawayvale.standins.caller import CallResult
 from carawayvale.standins.caller import Lookup
-from carawayvale.standins.caller import Reply
 from carawayvale.standins.caller import Verdict
 from carawayvale.standins.store import claim_lease
 from carawayvale.standins.store import handle_call
@@ -44,7 +43,6 @@
     "put_instance",
     "read_key",
     "register_fault",
-    "Reply",
     "send_error",
     "send_foreign",
     "send_part",
--- a/carawayvale/standins/caller.py
+++ b/carawayvale/standins/caller.py
@@ -17,11 +17,12 @@
 from carawayvale.contracts.fields import Address
 from carawayvale.contracts.fields import parse_address
 from carawayvale.contracts import headers as names
-from carawayvale.links.http import AnswerHead
+from carawayvale.links.connections import ConnectionPools
+from carawayvale.links.connections import OutgoingCall
+from carawayvale.links.connections import Reply
 from carawayvale.links.http import ConnectFailed
 from carawayvale.links.http import ConnectionBroken
 from carawayvale.links.http import Headers
-from carawayvale.machines.connections import ConnectionPools
 from carawayvale.standins.backend import Work
 
 LOOKUP_TIMEOUT_S = 3.0
@@ -101,14 +102,6 @@
     expiry_s: float
 
 
-@dataclass(frozen=True)
-class Reply:
-    """One answer of an entry instance."""
-
-    head: AnswerHead
-    body: bytes
-
-
 @dataclass
 class Caller:
     """Looks entry instances up, sends requests, repeats what is safe.
@@ -298,19 +291,10 @@
         :raises ConnectionBroken: if the connection ends first.
         :raises curio.TaskTimeout: if the time is over first.
         """
-        pool = self.pools.find(address)
+        call = OutgoingCall(method, target, headers, body)
         fresh = method not in SAFE_METHODS
-        async with curio.timeout_after(left_s):
-            client = await pool.acquire(min(1.0, left_s), fresh)
-            try:
-                await client.send_request(method, target, headers, body)
-                head = await client.read_head()
-                data = await client.read_body(MAX_BODY_BYTES)
-            except BaseException:
-                await client.close()
-                raise
-            await pool.release(client)
-        return Reply(head, data)
+        pool = self.pools.find(address)
+        return await pool.exchange(call, left_s, MAX_BODY_BYTES, fresh)
 
     async def close(self) -> None:
         """Close all connections."""
--- a/carawayvale/zones/__init__.py
+++ b/carawayvale/zones/__init__.py
@@ -23,6 +23,7 @@
 from carawayvale.zones.ownership import Shard
 from carawayvale.zones.plan import list_blocks
 from carawayvale.zones.plan import make_plan
+from carawayvale.zones.plan import make_table
 from carawayvale.zones.plan import Plan
 from carawayvale.zones.plan import rank_route
 from carawayvale.zones.plan import Treatment
@@ -45,6 +46,7 @@
     "list_targets",
     "LookupTarget",
     "make_plan",
+    "make_table",
     "NamedBlock",
     "order_candidates",
     "OwnerReport",
