--- a/carawayvale/links/connections.py
+++ b/carawayvale/links/connections.py
@@ -12,7 +12,7 @@
 from carawayvale.links.http import connect
 from carawayvale.links.http import CONNECT_TIMEOUT_S
 from carawayvale.links.http import Headers
-from carawayvale.links.http import HttpClient
+from carawayvale.links.http_client import HttpClient
 
 IDLE_LIMIT_S = 20.0
 FRESH_IDLE_S = 1.0
--- /dev/null
+++ b/carawayvale/links/http_client.py
@@ -0,0 +1,186 @@
+"""The client's side of an HTTP/1.1 connection."""
+
+import socket as plain_socket
+from ssl import SSLSocket
+from ssl import SSLWantReadError
+
+from curio.io import Socket
+import h11
+
+from carawayvale.links.http import AnswerHead
+from carawayvale.links.http import ConnectionBroken
+from carawayvale.links.http import Headers
+from carawayvale.links.http import MAX_HEADER_BYTES
+from carawayvale.links.http import READ_BYTES
+
+
+class HttpClient:
+    """The client's side of one connection; one exchange at a time.
+
+    :param sock: a connected socket.
+    """
+
+    def __init__(self, sock: Socket):
+        self.sock = sock
+        self.http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
+        )
+        self.started = False
+
+    async def send_head(
+        self, method: str, target: str, headers: Headers, body: bytes = b""
+    ) -> None:
+        """Send the head of a request and the start of its body.
+
+        :param method: HTTP method.
+        :param target: path and query.
+        :param headers: headers, with those that frame the body.
+        :param body: first piece of the body.
+        :raises ConnectionBroken: if the connection ended.
+        """
+        request = h11.Request(method=method, target=target, headers=headers)
+        data = self.http.send(request)
+        if body:
+            data += self.http.send(h11.Data(data=body))
+        await self._write(data)
+
+    async def send_request(
+        self, method: str, target: str, headers: Headers, body: bytes = b""
+    ) -> None:
+        """Send a whole request.
+
+        :param method: HTTP method.
+        :param target: path and query.
+        :param headers: headers but for the length.
+        :param body: the body.
+        :raises ConnectionBroken: if the connection ended.
+        """
+        if body or method in ("POST", "PUT", "PATCH"):
+            length = (b"content-length", b"%d" % len(body))
+            headers = [*headers, length]
+        request = h11.Request(method=method, target=target, headers=headers)
+        data = self.http.send(request)
+        if body:
+            data += self.http.send(h11.Data(data=body))
+        data += self.http.send(h11.EndOfMessage())
+        await self._write(data)
+
+    async def send_chunk(self, data: bytes) -> None:
+        """Send a piece of the request's body.
+
+        :param data: the piece.
+        :raises ConnectionBroken: if the connection ended.
+        """
+        await self._write(self.http.send(h11.Data(data=data)))
+
+    async def finish(self) -> None:
+        """End the request.
+
+        :raises ConnectionBroken: if the connection ended.
+        """
+        data = self.http.send(h11.EndOfMessage())
+        if data:
+            await self._write(data)
+
+    async def _write(self, data: bytes) -> None:
+        self.started = True
+        try:
+            await self.sock.sendall(data)
+        except OSError as error:
+            raise ConnectionBroken(str(error)) from None
+
+    async def read_head(self) -> AnswerHead:
+        """Read the head of the answer.
+
+        :returns: the head.
+        :raises ConnectionBroken: if the connection ended first.
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if isinstance(event, h11.Response):
+                return AnswerHead(event.status_code, tuple(event.headers))
+            raise ConnectionBroken("connection closed before the answer")
+
+    async def read_chunk(self) -> bytes:
+        """Read the next piece of the answer's body.
+
+        :returns: the piece; empty at the end.
+        :raises ConnectionBroken: if the body is truncated.
+        """
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return b""
+        raise ConnectionBroken("answer is truncated")
+
+    async def read_body(self, limit: int) -> bytes:
+        """Read the whole body of the answer.
+
+        :param limit: most bytes to accept.
+        :returns: the body.
+        :raises ConnectionBroken: if it is truncated or too long.
+        """
+        pieces = []
+        size = 0
+        while piece := await self.read_chunk():
+            size += len(piece)
+            if size > limit:
+                raise ConnectionBroken(f"answer exceeds {limit} bytes")
+            pieces.append(piece)
+        return b"".join(pieces)
+
+    async def _next_event(self) -> h11.Event:
+        while True:
+            try:
+                event = self.http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise ConnectionBroken(str(error)) from None
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = await self.sock.recv(READ_BYTES)
+            except OSError as error:
+                raise ConnectionBroken(str(error)) from None
+            try:
+                self.http.receive_data(data)
+            except RuntimeError:
+                raise ConnectionBroken("connection is closed") from None
+
+    def reset(self) -> bool:
+        """Prepare for the next exchange.
+
+        :returns: whether the connection can carry one.
+        """
+        done = h11.DONE
+        if self.http.our_state is not done:
+            return False
+        if self.http.their_state is not done or self.http.trailing_data[0]:
+            return False
+        self.http.start_next_cycle()
+        self.started = False
+        return True
+
+    def has_closed(self) -> bool:
+        """Tell whether an idle connection was closed or has stray data.
+
+        :returns: whether it must not be used again.
+        """
+        sock = self.sock._socket
+        try:
+            if isinstance(sock, SSLSocket):
+                sock.recv(1)
+            else:
+                sock.recv(1, plain_socket.MSG_PEEK)
+        except (BlockingIOError, SSLWantReadError):
+            return False
+        except OSError:
+            return True
+        # An idle connection has nothing to say but that it is closed.
+        return True
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self.sock.close()
--- a/carawayvale/links/requests.py
+++ b/carawayvale/links/requests.py
@@ -10,8 +10,8 @@
 
 from carawayvale.links.http import BadRequest
 from carawayvale.links.http import ConnectionBroken
-from carawayvale.links.http import HttpServer
 from carawayvale.links.http import RequestHead
+from carawayvale.links.http_server import HttpServer
 from carawayvale.telemetry.logs import log_event
 
 IDLE_TIMEOUT_S = 120.0
--- a/carawayvale/machines/answers.py
+++ b/carawayvale/machines/answers.py
@@ -12,7 +12,7 @@
 from carawayvale.links.connections import ConnectionPool
 from carawayvale.links.http import ConnectionBroken
 from carawayvale.links.http import Headers
-from carawayvale.links.http import HttpServer
+from carawayvale.links.http_server import HttpServer
 from carawayvale.machines.attempts import Attempt
 from carawayvale.machines.node import Node
 from carawayvale.machines.requests import CallerRequest
--- a/carawayvale/machines/attempts.py
+++ b/carawayvale/machines/attempts.py
@@ -14,7 +14,7 @@
 from carawayvale.links.http import ConnectFailed
 from carawayvale.links.http import ConnectionBroken
 from carawayvale.links.http import Headers
-from carawayvale.links.http import HttpClient
+from carawayvale.links.http_client import HttpClient
 from carawayvale.machines.requests import is_echo
 from carawayvale.machines.requests import make_cancel_target
 
--- a/carawayvale/machines/caller_port.py
+++ b/carawayvale/machines/caller_port.py
@@ -14,8 +14,8 @@
 from carawayvale.contracts.tickets import encode_ticket
 from carawayvale.contracts.tickets import issue_ticket
 from carawayvale.links.http import BadRequest
-from carawayvale.links.http import HttpServer
 from carawayvale.links.http import RequestHead
+from carawayvale.links.http_server import HttpServer
 from carawayvale.links.requests import serve_requests
 from carawayvale.machines.answers import send_refusal
 from carawayvale.machines.exchange import Exchange
--- a/carawayvale/machines/exchange.py
+++ b/carawayvale/machines/exchange.py
@@ -13,7 +13,7 @@
 from carawayvale.contracts.tickets import Claim
 from carawayvale.contracts.tickets import Ticket
 from carawayvale.links.connections import ConnectionPool
-from carawayvale.links.http import HttpServer
+from carawayvale.links.http_server import HttpServer
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links.messages import MemberState
 from carawayvale.machines.answers import AnswerWriter
--- a/carawayvale/machines/operator_port.py
+++ b/carawayvale/machines/operator_port.py
@@ -10,8 +10,8 @@
 from curio.io import Socket
 
 from carawayvale.links.http import BadRequest
-from carawayvale.links.http import HttpServer
 from carawayvale.links.http import RequestHead
+from carawayvale.links.http_server import HttpServer
 from carawayvale.links.peers import PeerTable
 from carawayvale.links.requests import read_body
 from carawayvale.links.requests import send_json
--- a/carawayvale/machines/progress.py
+++ b/carawayvale/machines/progress.py
@@ -14,7 +14,7 @@
 from carawayvale.contracts.tickets import Phase
 from carawayvale.contracts.tickets import Ticket
 from carawayvale.links.http import Headers
-from carawayvale.links.http import HttpServer
+from carawayvale.links.http_server import HttpServer
 from carawayvale.machines.attempts import Attempt
 from carawayvale.machines.attempts import Outbound
 from carawayvale.machines.node import Node
--- a/carawayvale/machines/tests/test_bad_input.py
+++ b/carawayvale/machines/tests/test_bad_input.py
@@ -125,7 +125,8 @@
         async def check():
             first, second = socket.socketpair(socket.AF_UNIX)
             monkeypatch.setattr(
-                "carawayvale.links.http.HttpServer.__init__", make_server
+                "carawayvale.links.http_server.HttpServer.__init__",
+                make_server,
             )
             async with first, second:
                 await second.sendall(b"GET / HT")
--- a/carawayvale/standins/backend.py
+++ b/carawayvale/standins/backend.py
@@ -18,8 +18,8 @@
 from carawayvale.links.http import BadRequest
 from carawayvale.links.http import ConnectionBroken
 from carawayvale.links.http import Headers
-from carawayvale.links.http import HttpServer
 from carawayvale.links.http import RequestHead
+from carawayvale.links.http_server import HttpServer
 from carawayvale.links.requests import read_json
 from carawayvale.links.requests import send_json
 from carawayvale.links.requests import serve_requests
--- a/carawayvale/standins/store.py
+++ b/carawayvale/standins/store.py
@@ -15,8 +15,8 @@
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.links.http import BadRequest
 from carawayvale.links.http import ConnectionBroken
-from carawayvale.links.http import HttpServer
 from carawayvale.links.http import RequestHead
+from carawayvale.links.http_server import HttpServer
 from carawayvale.links.requests import read_json
 from carawayvale.links.requests import send_json
 from carawayvale.links.requests import serve_requests
