Bound the memory of remembered answers

Cause: a full ledger of 100,000 answers of up to 64 KiB could hold 6.5 GB, far over the 256 MB of a node.

Change: bodies up to 4 KiB are kept, 32 MB of them at most; a repeat of a submission whose answer is not kept learns that it ran (answer_gone).

--- a/carawayvale/commands/run.py
+++ b/carawayvale/commands/run.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import gc
+import resource
 import signal
 import socket as plain_socket
 import sys
@@ -56,12 +57,19 @@
     await signals.wait()
 
 
+def raise_file_limit() -> None:
+    """Allow as many open files as the system lets this process have."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+
+
 def run_daemon(run: Callable, stop: Stop) -> None:
     """Run a daemon in a new event loop.
 
     :param run: runs the daemon until it is done.
     :param stop: asks it to stop.
     """
+    raise_file_limit()
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     gc.set_threshold(GC_THRESHOLD)
     curio.run(run_with_signals, run, stop)
--- a/carawayvale/contracts/reasons.py
+++ b/carawayvale/contracts/reasons.py
@@ -24,6 +24,7 @@
     TICKET_EXPIRED = "ticket_expired"
     IN_PROGRESS = "in_progress"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    ANSWER_GONE = "answer_gone"
     LEDGER_FULL = "ledger_full"
     BODY_TOO_LARGE = "body_too_large"
     DRAINING = "draining"
@@ -65,6 +66,7 @@
         Refusal(Reason.TICKET_EXPIRED, 410, True),
         Refusal(Reason.IN_PROGRESS, 409, False, 1.0),
         Refusal(Reason.OUTCOME_UNKNOWN, 502, False),
+        Refusal(Reason.ANSWER_GONE, 409, False),
         Refusal(Reason.LEDGER_FULL, 503, True, 1.0),
         Refusal(Reason.BODY_TOO_LARGE, 413, True),
         Refusal(Reason.DRAINING, 503, True, 1.0),
--- a/carawayvale/contracts/tests/test_tickets.py
+++ b/carawayvale/contracts/tests/test_tickets.py
@@ -81,6 +81,18 @@
         assert ledger.claim(Ticket("e1", 1, 9, b"b"), 1) is Claim.FULL
         assert ledger.claim(first, 1) is Claim.DONE
 
+    def test_kept_answers_are_bounded(self):
+        ledger = TicketLedger("e1", 1, max_kept_bytes=5000)
+        bodies = []
+        for number, size in enumerate((5000, 3000, 3000, 2000)):
+            ticket = Ticket("e1", 1, 9, bytes([number]))
+            ledger.claim(ticket, 0)
+            ledger.settle(ticket, Phase.DONE, Outcome(200, (), b"x" * size))
+            bodies.append(len(ledger.find_outcome(ticket).body or b""))
+        assert bodies == [0, 3000, 0, 2000]
+        ledger.claim(Ticket("e1", 1, 200, b"new"), 9 + GRACE_S)
+        assert ledger.kept_bytes == 0
+
     def test_far_expiry_is_not_accepted(self):
         ledger = TicketLedger("e1", 1, max_ttl_s=10)
         ticket = Ticket("e1", 1, 1e9, b"a")
--- a/carawayvale/contracts/tickets.py
+++ b/carawayvale/contracts/tickets.py
@@ -4,6 +4,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from enum import Enum
 import hashlib
 import hmac
@@ -15,6 +16,8 @@
 TAG_BYTES = 16
 GRACE_S = 60.0
 LEDGER_CAPACITY = 100_000
+MAX_BODY_BYTES = 4096
+MAX_KEPT_BYTES = 32_000_000
 
 
 class BadTicket(ValueError):
@@ -155,6 +158,8 @@
     :param incarnation: this process.
     :param capacity: most submissions that are remembered.
     :param max_ttl_s: longest validity that a ticket may have left.
+    :param max_kept_bytes: most bytes of answers that are kept; a longer
+        answer, or one beyond that, is remembered without its body.
 
     >>> ledger = TicketLedger("e1", 7)
     >>> ticket = Ticket("e1", 7, 10.0, b"x")
@@ -166,6 +171,8 @@
     incarnation: int
     capacity: int = LEDGER_CAPACITY
     max_ttl_s: float = 600.0
+    max_kept_bytes: int = MAX_KEPT_BYTES
+    kept_bytes: int = 0
     entries: OrderedDict[bytes, Entry] = field(default_factory=OrderedDict)
 
     def claim(self, ticket: Ticket, now_s: float) -> Claim:
@@ -249,7 +256,16 @@
         """
         entry = self.entries[ticket.ticket_id]
         entry.phase = phase
-        entry.outcome = outcome
+        entry.outcome = outcome and self._bound(outcome)
+
+    def _bound(self, outcome: Outcome) -> Outcome:
+        size = len(outcome.body or b"")
+        if size > MAX_BODY_BYTES:
+            return replace(outcome, body=None)
+        if self.kept_bytes + size > self.max_kept_bytes:
+            return replace(outcome, body=None)
+        self.kept_bytes += size
+        return outcome
 
     def find_outcome(self, ticket: Ticket) -> Outcome | None:
         """Find the remembered answer of a submission.
@@ -267,3 +283,5 @@
             if running or now_s < entry.expiry_s + GRACE_S:
                 return
             del self.entries[ticket_id]
+            if entry.outcome is not None:
+                self.kept_bytes -= len(entry.outcome.body or b"")
--- a/carawayvale/machines/exchange.py
+++ b/carawayvale/machines/exchange.py
@@ -141,7 +141,7 @@
     async def _replay(self, ticket: Ticket) -> Reason | None:
         outcome = self.node.ledger.find_outcome(ticket)
         if outcome.body is None:
-            return Reason.OUTCOME_UNKNOWN
+            return Reason.ANSWER_GONE
         await self.writer.replay(outcome)
         return None
 
