--- a/benchmarks/fakes.py
+++ b/benchmarks/fakes.py
@@ -92,12 +92,12 @@
             await link.post(Heartbeat(mine, message.view, revision))
 
     async def report(self) -> None:
-        """Send headroom, and a region's report from a bridge."""
-        regions = ()
-        if self.record.region != "r0":
-            regions = (
-                RegionReport(self.record.region, time.time(), HEADROOM),
-            )
+        """Send headroom; bridges report their region, others relay all."""
+        names = [self.record.region]
+        if self.record.region == "r0":
+            names = [f"r{number}" for number in range(1, REGIONS)]
+        now_s = time.time()
+        regions = tuple(RegionReport(n, now_s, HEADROOM) for n in names)
         for link in self.links:
             await link.post(Reports(HEADROOM, regions, 0.0, ()))
 
--- a/carawayvale/contracts/headers.py
+++ b/carawayvale/contracts/headers.py
@@ -21,7 +21,6 @@
 CACHE_CONTROL = b"cache-control"
 
 YES = b"1"
-MAX_HOPS = 1
 LOOKUP_PATH = "/.well-known/carawayvale/lookup"
 CANCEL_PATH = "/.well-known/carawayvale/requests/"
 HEALTH_PATH = "/health"
--- a/carawayvale/contracts/reasons.py
+++ b/carawayvale/contracts/reasons.py
@@ -26,8 +26,6 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     ANSWER_GONE = "answer_gone"
     LEDGER_FULL = "ledger_full"
-    BODY_TOO_LARGE = "body_too_large"
-    DRAINING = "draining"
 
 
 @dataclass(frozen=True)
@@ -68,7 +66,5 @@
         Refusal(Reason.OUTCOME_UNKNOWN, 502, False),
         Refusal(Reason.ANSWER_GONE, 409, False),
         Refusal(Reason.LEDGER_FULL, 503, True, 1.0),
-        Refusal(Reason.BODY_TOO_LARGE, 413, True),
-        Refusal(Reason.DRAINING, 503, True, 1.0),
     )
 }
--- a/carawayvale/contracts/retries.py
+++ b/carawayvale/contracts/retries.py
@@ -6,6 +6,7 @@
 
 BUDGET_RESERVE = 10.0
 SEEN_IDS = 4096
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
 
 
 class AttemptResult(Enum):
--- a/carawayvale/links/peers.py
+++ b/carawayvale/links/peers.py
@@ -19,6 +19,7 @@
 from carawayvale.links.membership import choose_neighbours
 from carawayvale.links.membership import HEARTBEAT_S
 from carawayvale.links.membership import Membership
+from carawayvale.links.membership import MESH_SIZE
 from carawayvale.links.messages import BadMessage
 from carawayvale.links.messages import Heartbeat
 from carawayvale.links.messages import MemberRecord
@@ -42,6 +43,7 @@
 REDIAL_S = 2.0
 SECOND_DIAL_S = 1.0
 IDLE_LINK_S = 3.0
+RELAY_FANOUT = 3
 UPDATES_LIMIT = 64
 PROBERS = 3
 
@@ -260,16 +262,37 @@
             await opened.link.post_packed(packed[region])
 
     async def relay_reports(self, reports: Reports, source: str) -> None:
-        """Pass reports on to the neighbours of the own region.
+        """Pass reports on to neighbours of the own region.
+
+        In a large region three of them are enough: reports come again
+        each second, and every instance that learns from one passes it
+        on.
 
         :param reports: the reports.
         :param source: name of the peer that sent them.
         """
         data = pack_message(reports)
-        for name, opened in list(self.links.items()):
-            local = opened.link.peer.region == self.membership.me.region
-            if local and name != source:
-                await opened.link.post_packed(data)
+        links = [
+            opened.link
+            for name, opened in self.links.items()
+            if opened.link.peer.region == self.membership.me.region
+            and name != source
+        ]
+        if self.is_large_region:
+            count = min(RELAY_FANOUT, len(links))
+            links = self.random.sample(links, count)
+        for link in links:
+            await link.post_packed(data)
+
+    @property
+    def is_large_region(self) -> bool:
+        """Whether the own region is no full mesh."""
+        region = self.membership.me.region
+        local = sum(
+            record.region == region and record.state is not MemberState.DEAD
+            for record in self.membership.records.values()
+        )
+        return local > MESH_SIZE
 
     async def settle(self) -> None:
         """Follow a change of the member list, if there was one."""
--- a/carawayvale/machines/answers.py
+++ b/carawayvale/machines/answers.py
@@ -13,6 +13,8 @@
 from carawayvale.links.http import ConnectionBroken
 from carawayvale.links.http import Headers
 from carawayvale.links.http_server import HttpServer
+from carawayvale.links.requests import CLOSE
+from carawayvale.links.requests import JSON_TYPE
 from carawayvale.machines.attempts import Attempt
 from carawayvale.machines.node import Node
 from carawayvale.machines.requests import CallerRequest
@@ -20,8 +22,6 @@
 
 RELAY_TIMEOUT_S = 10.0
 MS_PER_S = 1000
-JSON_TYPE = (b"content-type", b"application/json")
-CLOSE = (b"connection", b"close")
 
 
 @dataclass(frozen=True)
--- a/carawayvale/machines/caller_port.py
+++ b/carawayvale/machines/caller_port.py
@@ -16,6 +16,7 @@
 from carawayvale.links.http import BadRequest
 from carawayvale.links.http import RequestHead
 from carawayvale.links.http_server import HttpServer
+from carawayvale.links.requests import JSON_TYPE
 from carawayvale.links.requests import serve_requests
 from carawayvale.machines.answers import send_refusal
 from carawayvale.machines.exchange import Exchange
@@ -25,8 +26,6 @@
 from carawayvale.zones.lookups import rotate_targets
 
 HTTP_OK = 200
-JSON_TYPE = (b"content-type", b"application/json")
-POST = "POST"
 
 
 @dataclass(frozen=True)
--- a/carawayvale/machines/entry.py
+++ b/carawayvale/machines/entry.py
@@ -62,7 +62,6 @@
     def __init__(self, settings: EntrySettings, key: bytes):
         self.settings = settings
         self.key = key
-        self.stopped = curio.Event()
         self.plan_wanted = curio.Event()
         self.drain_wanted = curio.Event()
         self.drain_s = 0.0
--- a/carawayvale/standins/caller.py
+++ b/carawayvale/standins/caller.py
@@ -17,6 +17,7 @@
 from carawayvale.contracts.fields import Address
 from carawayvale.contracts.fields import parse_address
 from carawayvale.contracts import headers as names
+from carawayvale.contracts.retries import IDEMPOTENT_METHODS
 from carawayvale.links.connections import ConnectionPools
 from carawayvale.links.connections import OutgoingCall
 from carawayvale.links.connections import Reply
@@ -31,7 +32,6 @@
 MS_PER_S = 1000
 RETRY_PAUSE_S = 0.2
 HTTP_OK = 200
-SAFE_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
 
 
 class Verdict(Enum):
@@ -166,7 +166,7 @@
         left_s = deadline_s - read_boot_clock()
         if left_s <= 0:
             return False
-        safe = call.method in SAFE_METHODS
+        safe = call.method in IDEMPOTENT_METHODS
         headers = self._make_headers(call, lookup, result, left_s)
         try:
             reply = await self.send(
@@ -292,7 +292,7 @@
         :raises curio.TaskTimeout: if the time is over first.
         """
         call = OutgoingCall(method, target, headers, body)
-        fresh = method not in SAFE_METHODS
+        fresh = method not in IDEMPOTENT_METHODS
         pool = self.pools.find(address)
         return await pool.exchange(call, left_s, MAX_BODY_BYTES, fresh)
 
--- a/carawayvale/zones/blocks.py
+++ b/carawayvale/zones/blocks.py
@@ -7,7 +7,6 @@
 from dataclasses import field
 import ipaddress
 
-V4_BITS = 32
 NO_NAME = ""
 
 
--- a/carawayvale/zones/plan.py
+++ b/carawayvale/zones/plan.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from carawayvale.contracts.document import Document
+from carawayvale.contracts.retries import IDEMPOTENT_METHODS
 from carawayvale.contracts.sections import Deployment
 from carawayvale.contracts.sections import Rank
 from carawayvale.contracts.sections import Route
@@ -15,7 +16,6 @@
 from carawayvale.zones.ownership import list_shards
 from carawayvale.zones.ownership import Shard
 
-IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
 DEFAULT_DEPLOYMENT = Deployment(name="default", owner="none")
 
 
