Let an instance take work only once it has a document

A restarted instance was named in look-ups before it had a document; its tickets were refused with not_ready, and an alternate that still knew the old process answered outcome_unknown.

Change: an instance joins as idle and takes work when its plan is in force. A ticket is forwarded to the process that it names even if the view here is older. The caller stand-in begins a new ticket at the first entry.

Ruled out: refused connections after the drain; none of the lost calls met one.

--- a/carawayvale/links/membership.py
+++ b/carawayvale/links/membership.py
@@ -211,25 +211,21 @@
         if name in self.heard_s and self._may_judge(name, now_s):
             self.suspect(name, now_s)
 
+    def join(self) -> None:
+        """Announce that this instance takes work."""
+        self._change_state(MemberState.ALIVE)
+
     def leave(self) -> None:
         """Announce that this instance takes no new work."""
-        self._announce(
-            replace(
-                self.me,
-                version=self.me.version + 1,
-                state=MemberState.LEAVING,
-            )
-        )
+        self._change_state(MemberState.IDLE)
 
     def retire(self) -> None:
         """Announce that this instance is gone."""
-        self._announce(
-            replace(
-                self.me,
-                version=self.me.version + 1,
-                state=MemberState.DEAD,
-            )
-        )
+        self._change_state(MemberState.DEAD)
+
+    def _change_state(self, state: MemberState) -> None:
+        version = self.me.version + 1
+        self._announce(replace(self.me, version=version, state=state))
 
     def take_updates(self, limit: int) -> tuple[MemberRecord, ...]:
         """Take changed records to send on each link, once.
--- a/carawayvale/links/messages.py
+++ b/carawayvale/links/messages.py
@@ -36,10 +36,14 @@
 
 
 class MemberState(IntEnum):
-    """State of an instance; the greater number wins at one version."""
+    """State of an instance; the greater number wins at one version.
+
+    An idle instance is a member that takes no new work: it has no
+    document yet, or it is about to leave.
+    """
 
     ALIVE = 0
-    LEAVING = 1
+    IDLE = 1
     SUSPECT = 2
     DEAD = 3
 
--- a/carawayvale/links/tests/test_messages.py
+++ b/carawayvale/links/tests/test_messages.py
@@ -31,7 +31,7 @@
     Address("127.0.0.1", 2),
     9,
     3,
-    MemberState.LEAVING,
+    MemberState.IDLE,
 )
 HEADROOM = (ServiceHeadroom("grids", 3, 8),)
 EXAMPLES = (
--- a/carawayvale/machines/entry.py
+++ b/carawayvale/machines/entry.py
@@ -13,6 +13,7 @@
 from carawayvale.links.listener import Listener
 from carawayvale.links.listener import open_listener
 from carawayvale.links.messages import MemberRecord
+from carawayvale.links.messages import MemberState
 from carawayvale.links.peers import PeerHooks
 from carawayvale.links.peers import PeerTable
 from carawayvale.links.tls import load_tls
@@ -122,6 +123,7 @@
             callers.address,
             self.peer_listener.address,
             make_incarnation(),
+            state=MemberState.IDLE,
         )
         node = Node(settings, self.key, me, Clock(), tls)
         self.node = node
@@ -174,6 +176,9 @@
             await self.node.replan()
             if self.node.is_ready and not was_ready:
                 settle_memory()
+                if not self.node.draining:
+                    self.node.membership.join()
+                    await self.peers.settle()
 
     async def _pump_always(self) -> None:
         """Do what only the passing of time makes possible."""
--- a/carawayvale/machines/exchange.py
+++ b/carawayvale/machines/exchange.py
@@ -107,12 +107,16 @@
         return await CLAIM_ACTIONS[claim](self, ticket)
 
     async def _forward_ticket(self, ticket: Ticket) -> Reason | None:
+        """Forward a submission to the process that its ticket names.
+
+        That process itself knows whether the ticket is its own; the
+        view of it here may be older than the ticket.
+        """
         record = self.node.membership.records.get(ticket.instance)
         if self.request.forwarded or record is None:
             return Reason.OUTCOME_UNKNOWN
-        if record.incarnation != ticket.incarnation:
-            return Reason.OUTCOME_UNKNOWN
-        if record.state is MemberState.DEAD:
+        known = record.incarnation >= ticket.incarnation
+        if known and record.state is MemberState.DEAD:
             return Reason.OUTCOME_UNKNOWN
         reason = await self._forward(record, with_ticket=True)
         unreachable = reason is Reason.OWNER_UNREACHABLE
--- a/carawayvale/machines/tests/test_exchange.py
+++ b/carawayvale/machines/tests/test_exchange.py
@@ -1,10 +1,14 @@
 """Tests of single requests through an entry instance."""
 
+from dataclasses import replace
 import json
 
 import curio
 
+from carawayvale.machines import EntryInstance
 from carawayvale.machines.tests.world import DOCUMENT
+from carawayvale.machines.tests.world import KEY
+from carawayvale.machines.tests.world import LOOPBACK
 from carawayvale.machines.tests.world import run_world
 from carawayvale.standins import Call
 from carawayvale.standins import Verdict
@@ -139,6 +143,22 @@
         run_world(check)
 
 
+class TestReadiness:
+    def test_instance_without_a_document_takes_no_work(self):
+        async def check(world):
+            settings = replace(world.entry.settings, name="e2", store=LOOPBACK)
+            second = EntryInstance(settings, KEY)
+            task = await curio.spawn(second.run)
+            await curio.sleep(0.5)
+            assert second.node.me.name not in second.node.serving
+            assert second.node.membership.list_serving() == ()
+            first = world.entry.node.membership
+            assert [m.name for m in first.list_serving()] == ["e1"]
+            await task.cancel()
+
+        run_world(check)
+
+
 class TestTraces:
     def test_each_hop_has_a_span_of_the_callers_trace(self):
         async def check(world):
--- a/carawayvale/standins/caller.py
+++ b/carawayvale/standins/caller.py
@@ -138,9 +138,10 @@
         began_s = read_boot_clock()
         deadline_s = began_s + call.timeout_s
         lookup = await self._look_up(call, deadline_s)
+        place = 0
         while lookup is not None and result.attempts < self.max_attempts:
-            place = result.attempts % len(lookup.addresses)
-            address = lookup.addresses[place]
+            address = lookup.addresses[place % len(lookup.addresses)]
+            place += 1
             result.attempts += 1
             again = await self._try_once(
                 call, address, lookup, result, deadline_s
@@ -150,6 +151,7 @@
             if result.verdict is Verdict.NOT_RUN:
                 self.lookups.pop((call.service, call.method), None)
                 lookup = await self._look_up(call, deadline_s) or lookup
+                place = 0 if lookup.ticket else place
         result.took_s = read_boot_clock() - began_s
         self.counts[result.verdict] += 1
         return result
