Notice a store that came back without waiting for the slow read

Cause: an instance without the watcher's role asked the store every 15 to 45 s, also after a failure, so status said store_down long after the outage; the test of an instance that starts in an outage timed out once.

--- a/carawayvale/platform/watcher.py
+++ b/carawayvale/platform/watcher.py
@@ -97,7 +97,8 @@
                 DOCUMENT_KEY, self.known, WATCH_WAIT_S
             )
         else:
-            await self._sleep_until_watcher()
+            if not self.is_down:
+                await self._sleep_until_watcher()
             newer = await self.store.watch(DOCUMENT_KEY, self.known, 0)
         if newer is not None:
             await self._read_newer(newer)
