Count a ready instance among the owners with its first plan

Cause: an instance joined only after its first plan, so between that and the second one it was ready but answered look-ups without entries.

Change: an instance that is not draining counts itself when it derives ownership; its peers still hear of it afterwards. In passing, what was written twice stands once: who is in a region and whether it is a mesh, the reading of processor time, two steps of tests; state that nothing read is gone.

--- a/benchmarks/floods.py
+++ b/benchmarks/floods.py
@@ -4,7 +4,6 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 import json
-import os
 from pathlib import Path
 import subprocess
 import sys
@@ -19,6 +18,7 @@
 from benchmarks.reports import make_row
 from benchmarks.reports import MORE
 from benchmarks.reports import Row
+from benchmarks.spread import read_cpu_s
 
 RUNS = 3
 SERVICE_MS = 50.0
@@ -36,7 +36,6 @@
 SUCCESS_TARGET = 0.999
 FLOOR_TARGET = 0.9
 REFUSAL_TARGET = 0.1
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 URGENT = "GET / HTTP/1.1\r\nhost: grids\r\n\r\n"
 HURRIED_URGENT = (
     "GET / HTTP/1.1\r\nhost: grids\r\ncarawayvale-deadline-ms: 500\r\n\r\n"
@@ -135,12 +134,9 @@
 
 def read_cpu(deployment: Deployment) -> float:
     """Read the processor time of all entries in seconds."""
-    ticks = 0
-    for name in NAMES:
-        pid = deployment.processes[name].popen.pid
-        fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1]
-        ticks += sum(int(part) for part in fields.split()[11:13])
-    return ticks / TICKS_PER_S
+    return sum(
+        read_cpu_s(deployment.processes[name].popen.pid) for name in NAMES
+    )
 
 
 def measure_cost(deployment: Deployment, stream: Stream) -> Sequence[float]:
--- a/carawayvale/links/membership.py
+++ b/carawayvale/links/membership.py
@@ -1,11 +1,9 @@
 """Decides which instances are live, from heartbeats and suspicions."""
 
 from collections.abc import Iterable
-from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
-from types import MappingProxyType
 
 import xxhash
 
@@ -263,10 +261,29 @@
             self._view = state.digest()
         return self._view
 
+    def list_members(self) -> list[MemberRecord]:
+        """List the instances that are not dead.
+
+        :returns: records of all regions.
+        """
+        return [
+            record
+            for record in self.records.values()
+            if record.state is not MemberState.DEAD
+        ]
+
+    def list_local(self) -> list[MemberRecord]:
+        """List the instances of the own region that are not dead.
+
+        :returns: their records.
+        """
+        region = self.me.region
+        return [m for m in self.list_members() if m.region == region]
+
     @property
-    def snapshot(self) -> Mapping[str, MemberRecord]:
-        """All known records by name, read only."""
-        return MappingProxyType(self.records)
+    def is_mesh(self) -> bool:
+        """Whether the own region is small enough for a full mesh."""
+        return len(self.list_local()) <= MESH_SIZE
 
 
 def elect(
--- a/carawayvale/links/peers.py
+++ b/carawayvale/links/peers.py
@@ -19,7 +19,6 @@
 from carawayvale.links.membership import choose_neighbours
 from carawayvale.links.membership import HEARTBEAT_S
 from carawayvale.links.membership import Membership
-from carawayvale.links.membership import MESH_SIZE
 from carawayvale.links.messages import BadMessage
 from carawayvale.links.messages import Heartbeat
 from carawayvale.links.messages import MemberRecord
@@ -278,22 +277,12 @@
             if opened.link.peer.region == self.membership.me.region
             and name != source
         ]
-        if self.is_large_region:
+        if not self.membership.is_mesh:
             count = min(RELAY_FANOUT, len(links))
             links = self.random.sample(links, count)
         for link in links:
             await link.post_packed(data)
 
-    @property
-    def is_large_region(self) -> bool:
-        """Whether the own region is no full mesh."""
-        region = self.membership.me.region
-        local = sum(
-            record.region == region and record.state is not MemberState.DEAD
-            for record in self.membership.records.values()
-        )
-        return local > MESH_SIZE
-
     async def settle(self) -> None:
         """Follow a change of the member list, if there was one."""
         generation = self.membership.generation
@@ -301,11 +290,7 @@
             return
         self.seen_generation = generation
         me = self.membership.me
-        linked = [
-            record
-            for record in self.membership.records.values()
-            if record.state is not MemberState.DEAD
-        ]
+        linked = self.membership.list_members()
         self.neighbours = choose_neighbours(me.name, me.region, linked)
         self.membership.watch(self.neighbours, self.clock.read())
         await self.hooks.members_changed()
--- a/carawayvale/machines/attempts.py
+++ b/carawayvale/machines/attempts.py
@@ -35,7 +35,6 @@
     :param target: path and query.
     :param headers: headers without those that frame the body.
     :param request_id: id that the answer must echo.
-    :param deadline_s: time by which the answer is due.
     :param idempotent: whether a second run does no harm.
     :param body: the body if it is buffered.
     :param stream: gives the pieces of a body that is not.
@@ -46,7 +45,6 @@
     target: str
     headers: Headers
     request_id: bytes
-    deadline_s: float
     idempotent: bool
     body: bytes = b""
     stream: BodySource | None = None
--- a/carawayvale/machines/node.py
+++ b/carawayvale/machines/node.py
@@ -17,11 +17,9 @@
 from carawayvale.links.keeper import DocumentKeeper
 from carawayvale.links.membership import elect
 from carawayvale.links.membership import Membership
-from carawayvale.links.membership import MESH_SIZE
 from carawayvale.links.membership import ROLE_BRIDGE
 from carawayvale.links.membership import ROLE_WATCHER
 from carawayvale.links.messages import MemberRecord
-from carawayvale.links.messages import MemberState
 from carawayvale.links.messages import RegionReport
 from carawayvale.links.messages import Reports
 from carawayvale.links.messages import ServiceHeadroom
@@ -111,8 +109,6 @@
         ownership = await curio.run_in_thread(
             assign_owners, plan.shards, candidates
         )
-        if plan.revision < (self.plan.revision if self.plan else 0):
-            return
         if self.plan is None or plan.revision != self.plan.revision:
             log_event(
                 "revision_in_force",
@@ -134,15 +130,18 @@
 
         :returns: records by name.
         """
-        return {
+        listed = {
             record.name: record
             for record in self.membership.list_serving()
             if record.name not in self.leaving
         }
+        # The first plan counts this instance before its peers hear of it.
+        if not self.draining and self.me.name not in self.leaving:
+            listed[self.me.name] = self.membership.me
+        return listed
 
     def _update_queues(self) -> None:
         now_s = self.clock.read()
-        ranks = tuple(self.plan.ranks.values())
         mine = {
             name: shard
             for name, shard in self.ownership.shards.items()
@@ -151,7 +150,7 @@
         for name, shard in mine.items():
             queue = self.queues.get(name)
             if queue is None:
-                queue = ShardQueue(Dispatcher(ranks, {}), self.clock)
+                queue = ShardQueue(Dispatcher((), {}), self.clock)
                 self.queues[name] = queue
                 log_event("shard_owned", shard=name, instance=self.me.name)
             self._update_queue(queue, shard, now_s)
@@ -196,7 +195,7 @@
         return [
             self.queues[name]
             for name, shard in self.shard_of.items()
-            if shard.service == service and name in self.queues
+            if shard.service == service
         ]
 
     def find_budget(self, service: Service) -> RetryBudget:
@@ -240,10 +239,7 @@
         free: dict[str, int] = {}
         usable: dict[str, int] = {}
         for name, shard in self.shard_of.items():
-            queue = self.queues.get(name)
-            if queue is None:
-                continue
-            dispatcher = queue.dispatcher
+            dispatcher = self.queues[name].dispatcher
             slots = dispatcher.count_usable(now_s)
             spare = slots - dispatcher.in_flight - dispatcher.waiting
             service = shard.service
@@ -275,23 +271,13 @@
         now_s = self.clock.read()
         headroom = self.measure_headroom()
         self.book.record_owner(self.me.name, headroom, now_s)
-        names = self._list_region(self.me.region)
+        names = [record.name for record in self.membership.list_local()]
         return self.book.add_up(self.me.region, names, now_s)
 
     def _relays(self) -> bool:
         """Tell whether this instance alone informs its mesh."""
         return self.has_role(ROLE_BRIDGE, ISSUERS)
 
-    def _is_mesh(self, region: str) -> bool:
-        return len(self._list_region(region)) <= MESH_SIZE
-
-    def _list_region(self, region: str) -> list[str]:
-        return [
-            record.name
-            for record in self.membership.records.values()
-            if record.region == region and record.state is not MemberState.DEAD
-        ]
-
     def take_reports(
         self, peer: MemberRecord, reports: Reports
     ) -> Reports | None:
@@ -313,7 +299,7 @@
         changed = self.take_list(reports.listed_s, reports.leaving)
         if not news and not changed:
             return None
-        if self._is_mesh(self.me.region) and not self._relays():
+        if self.membership.is_mesh and not self._relays():
             return None
         leaving = tuple(sorted(self.leaving))
         return Reports((), news, self.listed_s, leaving)
--- a/carawayvale/machines/progress.py
+++ b/carawayvale/machines/progress.py
@@ -77,7 +77,6 @@
             request.head.target,
             headers,
             request.request_id,
-            request.deadline_s,
             request.idempotent,
             self.body or b"",
             self._stream_body if streams else None,
--- a/carawayvale/machines/tests/test_dispatcher.py
+++ b/carawayvale/machines/tests/test_dispatcher.py
@@ -40,6 +40,15 @@
     return dispatcher
 
 
+def queue_behind_one(deadline_s):
+    """Make a dispatcher whose one slot is granted while a job waits."""
+    dispatcher = make_dispatcher(make_endpoint(slots=1))
+    dispatcher.offer(Job("urgent", 9.0), 0.0)
+    first = dispatcher.take_grants(0.0)[0]
+    dispatcher.offer(Job("urgent", deadline_s), 0.0)
+    return dispatcher, first
+
+
 class Flood:
     """Sends Poisson arrivals of each rank to a dispatcher.
 
@@ -108,10 +117,7 @@
         assert dispatcher.take_grants(0.0) == []
 
     def test_expired_job_is_never_started(self):
-        dispatcher = make_dispatcher(make_endpoint(slots=1))
-        dispatcher.offer(Job("urgent", 9.0), 0.0)
-        first = dispatcher.take_grants(0.0)[0]
-        dispatcher.offer(Job("urgent", 1.0), 0.0)
+        dispatcher, first = queue_behind_one(1.0)
         dispatcher.release(first, 2.0, True)
         assert dispatcher.take_grants(2.0) == []
 
@@ -212,17 +218,11 @@
 
 class TestStaleWork:
     def test_work_that_would_end_after_its_deadline_is_not_started(self):
-        dispatcher = make_dispatcher(make_endpoint(slots=1))
-        dispatcher.offer(Job("urgent", 9.0), 0.0)
-        first = dispatcher.take_grants(0.0)[0]
-        dispatcher.offer(Job("urgent", 1.0), 0.0)
+        dispatcher, first = queue_behind_one(1.0)
         dispatcher.release(first, 0.99, False)
         assert dispatcher.take_grants(0.99) == []
 
     def test_work_that_waited_too_long_is_not_started(self):
-        dispatcher = make_dispatcher(make_endpoint(slots=1))
-        dispatcher.offer(Job("urgent", 9.0), 0.0)
-        first = dispatcher.take_grants(0.0)[0]
-        dispatcher.offer(Job("urgent", 9.0), 0.0)
+        dispatcher, first = queue_behind_one(9.0)
         dispatcher.release(first, 1.1, False)
         assert dispatcher.take_grants(1.1) == []
--- a/carawayvale/machines/tests/test_exchange.py
+++ b/carawayvale/machines/tests/test_exchange.py
@@ -26,6 +26,13 @@
     return runs
 
 
+async def take_ticket(world):
+    """Look a submission ticket up."""
+    path = "/.well-known/carawayvale/lookup?service=grids&method=POST"
+    _, body = await world.ask("GET", path)
+    return json.loads(body)["ticket"]
+
+
 class TestHedging:
     def test_slow_read_is_answered_by_another_server(self):
         async def check(world):
@@ -70,9 +77,7 @@
 class TestTickets:
     def test_repeat_gets_the_remembered_answer(self):
         async def check(world):
-            path = "/.well-known/carawayvale/lookup?service=grids&method=POST"
-            _, body = await world.ask("GET", path)
-            ticket = json.loads(body)["ticket"]
+            ticket = await take_ticket(world)
             answers = [
                 await world.ask(
                     "POST",
@@ -93,9 +98,7 @@
         async def check(world):
             for server in world.backends.values():
                 server.faults.delay_s = 0.3
-            path = "/.well-known/carawayvale/lookup?service=grids&method=POST"
-            _, body = await world.ask("GET", path)
-            ticket = json.loads(body)["ticket"]
+            ticket = await take_ticket(world)
 
             async def submit():
                 head, _ = await world.ask(
--- a/carawayvale/platform/http_store.py
+++ b/carawayvale/platform/http_store.py
@@ -36,7 +36,6 @@
     def __init__(self, address: Address):
         super().__init__(address)
         self.pool = ConnectionPool(address)
-        self.calls = 0
 
     async def _call(
         self,
@@ -45,7 +44,6 @@
         body: Any = None,
         timeout_s: float = ANSWER_TIMEOUT_S,
     ) -> tuple[int, Any]:
-        self.calls += 1
         data = b"" if body is None else json.dumps(body).encode()
         call = OutgoingCall(method, target, JSON_HEADERS, data)
         try:
--- a/carawayvale/zones/credits.py
+++ b/carawayvale/zones/credits.py
@@ -54,7 +54,6 @@
     epoch: int = NO_EPOCH
     first_epoch: int = NO_EPOCH
     credits: int = 0
-    received: int = 0
     spent: int = 0
     serial: int = 0
     seen: dict[str, int] = field(default_factory=dict)
@@ -82,7 +81,6 @@
         growth = allowance.step / allowance.divisor
         self.epoch = epoch
         self.spent = 0
-        self.received = 0
         self.credits = int(min(share, before + growth))
         if epoch < self.first_epoch:
             self.credits = 0
@@ -131,7 +129,6 @@
             return False
         self.seen[sender] = grant.serial
         self.credits += grant.credits
-        self.received += grant.credits
         return True
 
 
