Move the product's stored document out of platform/

The folder platform/ is to hold the names, formats and calls of the users' platform and nothing that decides. Envelope, editor, watcher and the product's own store adapters decide about the document, so they are carawayvale/documents now. No behaviour changes.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -24,6 +24,9 @@
 from carawayvale.contracts import Document
 from carawayvale.contracts import load_document
 from carawayvale.contracts import parse_document
+from carawayvale.documents import Edit
+from carawayvale.documents import Editor
+from carawayvale.documents import HttpStore
 from carawayvale.links import apply_change
 from carawayvale.links import encode_message
 from carawayvale.links import find_changed
@@ -33,9 +36,6 @@
 from carawayvale.links import Membership
 from carawayvale.links import pack_message
 from carawayvale.machines import settle_memory
-from carawayvale.platform import Edit
-from carawayvale.platform import Editor
-from carawayvale.platform import HttpStore
 from carawayvale.zones import assign_owners
 from carawayvale.zones import BlockTable
 from carawayvale.zones import Candidate
--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -15,9 +15,9 @@
 from benchmarks.deployment import Deployment
 from benchmarks.fleet import Fleet
 from carawayvale.contracts import Address
-from carawayvale.platform import Edit
-from carawayvale.platform import Editor
-from carawayvale.platform import HttpStore
+from carawayvale.documents import Edit
+from carawayvale.documents import Editor
+from carawayvale.documents import HttpStore
 
 SIZES = (5, 10, 20, 40, 80)
 EDITS = 5
--- a/carawayvale/commands/daemons.py
+++ b/carawayvale/commands/daemons.py
@@ -9,11 +9,11 @@
 from carawayvale.contracts.settings import BackendSettings
 from carawayvale.contracts.settings import load_key
 from carawayvale.contracts.settings import load_settings
+from carawayvale.documents.envelope import DOCUMENT_KEY
+from carawayvale.documents.envelope import Envelope
 from carawayvale.links.listener import Listener
 from carawayvale.links.listener import open_listener
 from carawayvale.machines.entry import EntryInstance
-from carawayvale.platform.envelope import DOCUMENT_KEY
-from carawayvale.platform.envelope import Envelope
 from carawayvale.standins.backend import BackendServer
 from carawayvale.standins.store import StoreServer
 from carawayvale.telemetry.logs import log_event
--- a/carawayvale/commands/documents.py
+++ b/carawayvale/commands/documents.py
@@ -17,16 +17,16 @@
 from carawayvale.contracts.settings import load_key
 from carawayvale.contracts.settings import load_settings
 from carawayvale.contracts.settings import OperatorSettings
+from carawayvale.documents.editor import Edit
+from carawayvale.documents.editor import Editor
+from carawayvale.documents.editor import EditResult
+from carawayvale.documents.editor import EditStatus
+from carawayvale.documents.editor import Snapshot
+from carawayvale.documents.envelope import Envelope
+from carawayvale.documents.store import make_store
+from carawayvale.documents.store import StoreUnavailable
 from carawayvale.machines.operator_port import sign_document
 from carawayvale.machines.operator_port import SIGNATURE
-from carawayvale.platform.editor import Edit
-from carawayvale.platform.editor import Editor
-from carawayvale.platform.editor import EditResult
-from carawayvale.platform.editor import EditStatus
-from carawayvale.platform.editor import Snapshot
-from carawayvale.platform.envelope import Envelope
-from carawayvale.platform.store import make_store
-from carawayvale.platform.store import StoreUnavailable
 
 POLL_S = 0.2
 DEFAULT_WAIT_S = 7.0
--- a/carawayvale/commands/tests/test_processes.py
+++ b/carawayvale/commands/tests/test_processes.py
@@ -14,10 +14,10 @@
 from carawayvale.commands.documents import push_envelope
 from carawayvale.contracts import Address
 from carawayvale.contracts import load_settings
-from carawayvale.platform import Edit
-from carawayvale.platform import Editor
-from carawayvale.platform import EditStatus
-from carawayvale.platform import HttpStore
+from carawayvale.documents import Edit
+from carawayvale.documents import Editor
+from carawayvale.documents import EditStatus
+from carawayvale.documents import HttpStore
 from carawayvale.standins import Call
 from carawayvale.standins import Caller
 from carawayvale.standins import Verdict
--- a/carawayvale/platform/cells.py
+++ b/carawayvale/documents/cells.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from carawayvale.platform.store import ListedInstance
-from carawayvale.platform.store import StoredValue
-from carawayvale.platform.store import WriteResult
+from carawayvale.documents.store import ListedInstance
+from carawayvale.documents.store import StoredValue
+from carawayvale.documents.store import WriteResult
 
 MAX_VALUE_BYTES = 1_000_000
 
--- a/carawayvale/platform/editor.py
+++ b/carawayvale/documents/editor.py
@@ -19,18 +19,18 @@
 from carawayvale.contracts.document import RawSection
 from carawayvale.contracts.findings import Finding
 from carawayvale.contracts.findings import Place
+from carawayvale.documents.envelope import CHANGE_KEY_PREFIX
+from carawayvale.documents.envelope import decode_envelope
+from carawayvale.documents.envelope import DOCUMENT_KEY
+from carawayvale.documents.envelope import EditRecord
+from carawayvale.documents.envelope import encode_change
+from carawayvale.documents.envelope import Envelope
+from carawayvale.documents.envelope import KEPT_EDITS
+from carawayvale.documents.store import NO_REVISION
+from carawayvale.documents.store import Store
+from carawayvale.documents.store import StoreUnavailable
 from carawayvale.links.keeper import describe_change
 from carawayvale.links.keeper import find_changed
-from carawayvale.platform.envelope import CHANGE_KEY_PREFIX
-from carawayvale.platform.envelope import decode_envelope
-from carawayvale.platform.envelope import DOCUMENT_KEY
-from carawayvale.platform.envelope import EditRecord
-from carawayvale.platform.envelope import encode_change
-from carawayvale.platform.envelope import Envelope
-from carawayvale.platform.envelope import KEPT_EDITS
-from carawayvale.platform.store import NO_REVISION
-from carawayvale.platform.store import Store
-from carawayvale.platform.store import StoreUnavailable
 
 MAX_TRIES = 20
 READ_BACK_TRIES = 5
--- a/carawayvale/platform/http_store.py
+++ b/carawayvale/documents/http_store.py
@@ -7,15 +7,15 @@
 import curio
 
 from carawayvale.contracts.fields import Address
+from carawayvale.documents.store import ListedInstance
+from carawayvale.documents.store import register_store
+from carawayvale.documents.store import Store
+from carawayvale.documents.store import StoredValue
+from carawayvale.documents.store import StoreUnavailable
+from carawayvale.documents.store import WriteResult
 from carawayvale.links.connections import ConnectionPool
 from carawayvale.links.connections import OutgoingCall
 from carawayvale.links.http import ConnectionBroken
-from carawayvale.platform.store import ListedInstance
-from carawayvale.platform.store import register_store
-from carawayvale.platform.store import Store
-from carawayvale.platform.store import StoredValue
-from carawayvale.platform.store import StoreUnavailable
-from carawayvale.platform.store import WriteResult
 
 ANSWER_TIMEOUT_S = 3.0
 MAX_ANSWER_BYTES = 2_500_000
--- a/carawayvale/platform/memory.py
+++ b/carawayvale/documents/memory.py
@@ -4,13 +4,13 @@
 
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.contracts.fields import Address
-from carawayvale.platform.cells import Cells
-from carawayvale.platform.store import ListedInstance
-from carawayvale.platform.store import register_store
-from carawayvale.platform.store import Store
-from carawayvale.platform.store import StoredValue
-from carawayvale.platform.store import StoreUnavailable
-from carawayvale.platform.store import WriteResult
+from carawayvale.documents.cells import Cells
+from carawayvale.documents.store import ListedInstance
+from carawayvale.documents.store import register_store
+from carawayvale.documents.store import Store
+from carawayvale.documents.store import StoredValue
+from carawayvale.documents.store import StoreUnavailable
+from carawayvale.documents.store import WriteResult
 
 POLL_S = 0.01
 
--- a/carawayvale/platform/tests/test_editor.py
+++ b/carawayvale/documents/tests/test_editor.py
@@ -4,14 +4,14 @@
 import pytest
 
 from carawayvale.contracts import Address
+from carawayvale.documents import decode_change
+from carawayvale.documents import Edit
+from carawayvale.documents import Editor
+from carawayvale.documents import EditStatus
+from carawayvale.documents import Envelope
+from carawayvale.documents.envelope import DOCUMENT_KEY
+from carawayvale.documents import MemoryStore
 from carawayvale.links import apply_change
-from carawayvale.platform import decode_change
-from carawayvale.platform import Edit
-from carawayvale.platform import Editor
-from carawayvale.platform import EditStatus
-from carawayvale.platform import Envelope
-from carawayvale.platform.envelope import DOCUMENT_KEY
-from carawayvale.platform import MemoryStore
 
 TEXT = """\
 [rank:urgent]
--- a/carawayvale/platform/tests/test_stores.py
+++ b/carawayvale/documents/tests/test_stores.py
@@ -6,12 +6,12 @@
 import pytest
 
 from carawayvale.contracts import Address
+from carawayvale.documents import ListedInstance
+from carawayvale.documents import make_store
+from carawayvale.documents.store import STORE_KINDS
+from carawayvale.documents import StoreUnavailable
 from carawayvale.links import Listener
 from carawayvale.links import open_listener
-from carawayvale.platform import ListedInstance
-from carawayvale.platform import make_store
-from carawayvale.platform.store import STORE_KINDS
-from carawayvale.platform import StoreUnavailable
 from carawayvale.standins import StoreServer
 
 LOOPBACK = Address("127.0.0.1", 0)
--- a/carawayvale/platform/tests/test_watcher.py
+++ b/carawayvale/documents/tests/test_watcher.py
@@ -3,11 +3,11 @@
 import curio
 
 from carawayvale.contracts import Address
+from carawayvale.documents import Envelope
+from carawayvale.documents.envelope import DOCUMENT_KEY
+from carawayvale.documents import MemoryStore
+from carawayvale.documents import Watcher
 from carawayvale.links import DocumentKeeper
-from carawayvale.platform import Envelope
-from carawayvale.platform.envelope import DOCUMENT_KEY
-from carawayvale.platform import MemoryStore
-from carawayvale.platform import Watcher
 
 TEXT = "[region:a]\nowner = platform\nlimit = {}\n"
 NEVER_S = 3600.0
--- a/carawayvale/platform/watcher.py
+++ b/carawayvale/documents/watcher.py
@@ -7,15 +7,15 @@
 
 import curio
 
+from carawayvale.documents.envelope import CHANGE_KEY_PREFIX
+from carawayvale.documents.envelope import decode_change
+from carawayvale.documents.envelope import decode_envelope
+from carawayvale.documents.envelope import DOCUMENT_KEY
+from carawayvale.documents.store import Store
+from carawayvale.documents.store import StoredValue
+from carawayvale.documents.store import StoreUnavailable
 from carawayvale.links.keeper import apply_change
 from carawayvale.links.keeper import DocumentKeeper
-from carawayvale.platform.envelope import CHANGE_KEY_PREFIX
-from carawayvale.platform.envelope import decode_change
-from carawayvale.platform.envelope import decode_envelope
-from carawayvale.platform.envelope import DOCUMENT_KEY
-from carawayvale.platform.store import Store
-from carawayvale.platform.store import StoredValue
-from carawayvale.platform.store import StoreUnavailable
 from carawayvale.telemetry.logs import log_event
 
 WATCH_WAIT_S = 20.0
--- a/carawayvale/machines/entry.py
+++ b/carawayvale/machines/entry.py
@@ -10,6 +10,8 @@
 
 from carawayvale.contracts.clock import Clock
 from carawayvale.contracts.settings import EntrySettings
+from carawayvale.documents.store import make_store
+from carawayvale.documents.watcher import Watcher
 from carawayvale.links.listener import Listener
 from carawayvale.links.listener import open_listener
 from carawayvale.links.messages import MemberRecord
@@ -21,8 +23,6 @@
 from carawayvale.machines.node import Node
 from carawayvale.machines.operator_port import OperatorPort
 from carawayvale.machines.prober import Prober
-from carawayvale.platform.store import make_store
-from carawayvale.platform.watcher import Watcher
 from carawayvale.telemetry.logs import log_event
 
 INCARNATION_BITS = 16
--- a/carawayvale/machines/operator_port.py
+++ b/carawayvale/machines/operator_port.py
@@ -9,6 +9,9 @@
 
 from curio.io import Socket
 
+from carawayvale.documents.envelope import decode_envelope
+from carawayvale.documents.store import StoredValue
+from carawayvale.documents.watcher import Watcher
 from carawayvale.links.http import BadRequest
 from carawayvale.links.http import RequestHead
 from carawayvale.links.http_server import HttpServer
@@ -17,9 +20,6 @@
 from carawayvale.links.requests import send_json
 from carawayvale.links.requests import serve_requests
 from carawayvale.machines.node import Node
-from carawayvale.platform.envelope import decode_envelope
-from carawayvale.platform.store import StoredValue
-from carawayvale.platform.watcher import Watcher
 
 MAX_BODY_BYTES = 2_500_000
 SIGNATURE = b"carawayvale-signature"
--- a/carawayvale/machines/tests/test_bad_input.py
+++ b/carawayvale/machines/tests/test_bad_input.py
@@ -6,6 +6,8 @@
 from curio import socket
 import pytest
 
+from carawayvale.documents import Envelope
+from carawayvale.documents.envelope import DOCUMENT_KEY
 from carawayvale.links import connect
 from carawayvale.links import greet_server
 from carawayvale.links import LinkBroken
@@ -17,8 +19,6 @@
 from carawayvale.machines.tests.world import DOCUMENT
 from carawayvale.machines.tests.world import KEY
 from carawayvale.machines.tests.world import run_world
-from carawayvale.platform import Envelope
-from carawayvale.platform.envelope import DOCUMENT_KEY
 from carawayvale.standins import Call
 from carawayvale.standins import Verdict
 
--- a/carawayvale/machines/tests/world.py
+++ b/carawayvale/machines/tests/world.py
@@ -11,14 +11,14 @@
 from carawayvale.contracts import Address
 from carawayvale.contracts import BackendSettings
 from carawayvale.contracts import EntrySettings
+from carawayvale.documents import Envelope
+from carawayvale.documents.envelope import DOCUMENT_KEY
 from carawayvale.links import AnswerHead
 from carawayvale.links import connect
 from carawayvale.links import HttpClient
 from carawayvale.links import Listener
 from carawayvale.links import open_listener
 from carawayvale.machines import EntryInstance
-from carawayvale.platform import Envelope
-from carawayvale.platform.envelope import DOCUMENT_KEY
 from carawayvale.standins import BackendServer
 from carawayvale.standins import Caller
 from carawayvale.standins import StoreServer
--- a/carawayvale/standins/store.py
+++ b/carawayvale/standins/store.py
@@ -13,6 +13,8 @@
 from curio.io import Socket
 
 from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.documents.cells import Cells
+from carawayvale.documents.store import ListedInstance
 from carawayvale.links.http import BadRequest
 from carawayvale.links.http import ConnectionBroken
 from carawayvale.links.http import RequestHead
@@ -20,8 +22,6 @@
 from carawayvale.links.requests import read_json
 from carawayvale.links.requests import send_json
 from carawayvale.links.requests import serve_requests
-from carawayvale.platform.cells import Cells
-from carawayvale.platform.store import ListedInstance
 
 MAX_BODY_BYTES = 2_500_000
 MAX_WAIT_S = 60.0
