--- /dev/null
+++ b/carawayvale/catalogue/__init__.py
@@ -0,0 +1,29 @@
+"""The typed picture of what the fleet serves, whatever its source."""
+
+from carawayvale.catalogue.dialect import Dialect
+from carawayvale.catalogue.mirror import Mirror
+from carawayvale.catalogue.mirror import StoredItem
+from carawayvale.catalogue.records import Catalogue
+from carawayvale.catalogue.records import Configuration
+from carawayvale.catalogue.records import EMPTY_CATALOGUE
+from carawayvale.catalogue.records import Endpoint
+from carawayvale.catalogue.records import EndpointState
+from carawayvale.catalogue.records import Limits
+from carawayvale.catalogue.records import Part
+from carawayvale.catalogue.records import Route
+from carawayvale.catalogue.records import Service
+
+__all__ = (
+    "Catalogue",
+    "Configuration",
+    "Dialect",
+    "EMPTY_CATALOGUE",
+    "Endpoint",
+    "EndpointState",
+    "Limits",
+    "Mirror",
+    "Part",
+    "Route",
+    "Service",
+    "StoredItem",
+)
--- /dev/null
+++ b/carawayvale/catalogue/source.py
@@ -0,0 +1,58 @@
+"""The contract of a source that fills the catalogue."""
+
+from dataclasses import dataclass
+
+from carawayvale.catalogue.mirror import StoredItem
+from carawayvale.catalogue.records import Configuration
+from carawayvale.catalogue.records import Endpoint
+from carawayvale.contracts.address import Address
+
+
+@dataclass(frozen=True)
+class ConfigurationRead:
+    """A configuration was read; None if it was removed."""
+
+    configuration: Configuration | None
+
+
+@dataclass(frozen=True)
+class EndpointRead:
+    """An endpoint's entry was read; None if it is not there."""
+
+    name: str
+    endpoint: Endpoint | None
+
+
+@dataclass(frozen=True)
+class EvacuationRead:
+    """A failure domain's evacuation began or ended."""
+
+    domain: str
+    wanted: bool
+
+
+@dataclass(frozen=True)
+class InstanceRead:
+    """An instance's port for peers was read; None if it is not there."""
+
+    name: str
+    peers: Address | None
+
+
+Reading = ConfigurationRead | EndpointRead | EvacuationRead | InstanceRead
+
+
+class Source:
+    """Decodes stored items; knows their keys and formats, decides nothing.
+
+    Subclasses implement every method.
+    """
+
+    def decode(self, item: StoredItem) -> Reading | None:
+        """Decode an item.
+
+        :param item: the item.
+        :returns: what it says, or None if it concerns nobody here.
+        :raises ValueError: if it cannot be read.
+        """
+        raise NotImplementedError
--- a/carawayvale/commands/client.py
+++ b/carawayvale/commands/client.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from carawayvale.contracts.fields import Address
+from carawayvale.contracts.address import Address
 from carawayvale.links.connections import ConnectionPool
 from carawayvale.links.connections import OutgoingCall
 from carawayvale.links.connections import Reply
--- a/carawayvale/commands/main.py
+++ b/carawayvale/commands/main.py
@@ -17,7 +17,7 @@
 from carawayvale.commands.documents import print_json
 from carawayvale.commands.exits import ExitStatus
 from carawayvale.commands.exits import fail
-from carawayvale.contracts.fields import Address
+from carawayvale.contracts.address import Address
 from carawayvale.contracts.fields import parse_address
 from carawayvale.contracts.findings import InvalidInput
 from carawayvale.contracts import headers as names
--- a/carawayvale/contracts/__init__.py
+++ b/carawayvale/contracts/__init__.py
@@ -11,7 +11,7 @@
 from carawayvale.contracts.document import RawSection
 from carawayvale.contracts.document import Section
 from carawayvale.contracts.document import split_sections
-from carawayvale.contracts.fields import Address
+from carawayvale.contracts.address import Address
 from carawayvale.contracts.fields import declare
 from carawayvale.contracts.fields import number
 from carawayvale.contracts.fields import parse_address
--- a/carawayvale/contracts/fields.py
+++ b/carawayvale/contracts/fields.py
@@ -15,6 +15,7 @@
 from expression import Ok
 from expression import Result
 
+from carawayvale.contracts.address import Address
 from carawayvale.contracts.findings import Finding
 from carawayvale.contracts.findings import Place
 
@@ -26,22 +27,6 @@
 Parser = Callable[[str], Any]
 
 
-@dataclass(frozen=True, order=True)
-class Address:
-    """An IP address and a TCP or UDP port.
-
-    :param host: IP address in text form.
-    :param port: port number.
-    """
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        host = f"[{self.host}]" if ":" in self.host else self.host
-        return f"{host}:{self.port}"
-
-
 def parse_text(text: str) -> str:
     """Accept any text that is not empty.
 
--- a/carawayvale/contracts/sections.py
+++ b/carawayvale/contracts/sections.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from carawayvale.contracts.fields import Address
+from carawayvale.contracts.address import Address
 from carawayvale.contracts.fields import declare
 from carawayvale.contracts.fields import number
 from carawayvale.contracts.fields import parse_address
--- a/carawayvale/contracts/settings.py
+++ b/carawayvale/contracts/settings.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from carawayvale.contracts.fields import Address
+from carawayvale.contracts.address import Address
 from carawayvale.contracts.fields import declare
 from carawayvale.contracts.fields import number
 from carawayvale.contracts.fields import parse_address
--- a/carawayvale/documents/http_store.py
+++ b/carawayvale/documents/http_store.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from carawayvale.contracts.fields import Address
+from carawayvale.contracts.address import Address
 from carawayvale.documents.store import ListedInstance
 from carawayvale.documents.store import register_store
 from carawayvale.documents.store import Store
--- a/carawayvale/documents/memory.py
+++ b/carawayvale/documents/memory.py
@@ -3,7 +3,7 @@
 import curio
 
 from carawayvale.contracts.clock import read_boot_clock
-from carawayvale.contracts.fields import Address
+from carawayvale.contracts.address import Address
 from carawayvale.documents.cells import Cells
 from carawayvale.documents.store import ListedInstance
 from carawayvale.documents.store import register_store
--- a/carawayvale/documents/store.py
+++ b/carawayvale/documents/store.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from carawayvale.contracts.fields import Address
+from carawayvale.contracts.address import Address
 
 STORE_KINDS: dict[str, type["Store"]] = {}
 NO_REVISION = 0
--- /dev/null
+++ b/carawayvale/gateway/caller_port.py
@@ -0,0 +1,304 @@
+"""Serves callers' requests: route, endpoint, attempts, answer."""
+
+from dataclasses import dataclass
+from dataclasses import replace
+
+from carawayvale.catalogue.records import Endpoint
+from carawayvale.catalogue.records import Route
+from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.forwarding import drop_own_headers
+from carawayvale.gateway.forwarding import OwnerUnreachable
+from carawayvale.gateway.forwarding import serve_at
+from carawayvale.gateway.http_port import Answer
+from carawayvale.gateway.http_port import Request
+from carawayvale.gateway.node import GatewayNode
+from carawayvale.gateway.owned import Order
+from carawayvale.gateway.upstream import Outcome
+from carawayvale.gateway.upstream import Result
+from carawayvale.steering.placing import order_endpoints
+from carawayvale.steering.routing import choose_part
+from carawayvale.telemetry.logs import log_event
+
+MS_PER_S = 1000.0
+DEFAULT_LEFT_S = 30.0
+
+# Time that an answer needs on its way to the caller, and the request
+# needed on its way here; both count against the objective.
+CALLER_WAY_S = 0.02
+
+# Endpoints of the own region, and of other regions, that are asked for
+# an answer within the objective.
+LOCAL_TRIES = 4
+REMOTE_TRIES = 2
+LATE_TRIES = 2
+
+MIN_RETRY_S = 0.05
+MAX_RETRY_S = 2.0
+NO_CONFIGURATION_RETRY_S = 0.3
+
+HTTP_BAD_REQUEST = 400
+HTTP_NOT_FOUND = 404
+HTTP_BAD_GATEWAY = 502
+HTTP_UNAVAILABLE = 503
+HTTP_GATEWAY_TIMEOUT = 504
+HTTP_SERVER_ERROR = 500
+
+
+@dataclass(eq=False)
+class Flight:
+    """One request on its way through the attempts.
+
+    :param request: the request.
+    :param route: its route.
+    :param service: the service that was chosen for it.
+    :param order: the request and its times.
+    :param may_have_run: whether an endpoint may have run it.
+    :param best_finish_s: least time until an owner would answer.
+    :param tried: endpoints that it was sent to.
+    :param full: endpoints without room, with the time until an answer.
+    """
+
+    request: Request
+    route: Route
+    service: str
+    order: Order
+    may_have_run: bool = False
+    refused_by_endpoint: bool = False
+    over: bool = False
+    tried: list[str] = None
+    full: dict[str, float] = None
+    spare: Result | None = None
+
+    def __post_init__(self):
+        self.tried = []
+        self.full = {}
+
+
+class CallerPort:
+    """Serves the requests of callers.
+
+    :param node: the instance.
+    """
+
+    def __init__(self, node: GatewayNode):
+        self.node = node
+        self.dialect = node.dialect
+
+    async def handle(self, request: Request) -> Answer:
+        """Serve one request.
+
+        :param request: the request.
+        :returns: the answer.
+        """
+        if self.node.catalogue.configuration is None:
+            return self._refuse(request, NO_CONFIGURATION_RETRY_S, "starting")
+        host = request.find_text(b"host")
+        route = self.node.routes.find(host, request.path)
+        if route is None:
+            return self._make_answer(request, HTTP_NOT_FOUND)
+        request_id = request.find_text(self.dialect.request_id)
+        if not request_id:
+            return self._make_answer(request, HTTP_BAD_REQUEST)
+        service = choose_part(route, request_id).service
+        flight = Flight(
+            request, route, service, self._make_order(request, route)
+        )
+        self.node.find_budget(service).record_request(request.arrived_s)
+        result = await self._run(flight)
+        if result is not None:
+            return Answer(result.status, result.headers, result.body)
+        return self._give_up(flight)
+
+    def _make_order(self, request: Request, route: Route) -> Order:
+        left_s = DEFAULT_LEFT_S
+        value = request.find_text(self.dialect.deadline_ms)
+        if value.isdigit():
+            left_s = int(value) / MS_PER_S
+        left_s = min(left_s, route.timeout_s)
+        arrived_s = request.arrived_s
+        kept = replace(request, headers=drop_own_headers(request.headers))
+        return Order(
+            kept,
+            route.rank,
+            request.find_text(self.dialect.affinity),
+            route.idempotent,
+            arrived_s + route.objective_s - CALLER_WAY_S,
+            arrived_s + left_s,
+            False,
+        )
+
+    async def _run(self, flight: Flight) -> Result | None:
+        local, remote = self._list_candidates(flight)
+        remote_first = self.node.shift.demands(read_boot_clock())
+        groups = [local[:LOCAL_TRIES], remote[:REMOTE_TRIES]]
+        if remote_first:
+            groups.reverse()
+        for group in groups:
+            result = await self._try_all(flight, group, flight.order)
+            if result is not None or flight.over:
+                return result
+        late = replace(flight.order, may_be_late=True)
+        candidates = self._order_late(flight, local, remote)
+        return await self._try_all(flight, candidates[:LATE_TRIES], late)
+
+    def _list_candidates(
+        self, flight: Flight
+    ) -> tuple[list[Endpoint], list[Endpoint]]:
+        node = self.node
+        homes = flight.route.homes
+        usable = [
+            e
+            for e in node.by_service.get(flight.service, ())
+            if not e.is_draining
+            and e.domain not in node.catalogue.evacuated
+            and (not homes or e.region in homes)
+        ]
+        order = flight.order
+        key = order.key
+        if not key:
+            key = flight.request.find_text(self.dialect.request_id)
+        region = node.settings.region
+        ordered = order_endpoints(usable, f"{flight.service}|{key}", region)
+        local = [e for e in ordered if e.region == region]
+        return local, [e for e in ordered if e.region != region]
+
+    def _order_late(
+        self, flight: Flight, local: list[Endpoint], remote: list[Endpoint]
+    ) -> list[Endpoint]:
+        known = [e for e in local + remote if e.name in flight.full]
+        known.sort(key=lambda e: flight.full[e.name])
+        return known or local or remote
+
+    async def _try_all(
+        self, flight: Flight, endpoints: list[Endpoint], order: Order
+    ) -> Result | None:
+        node = self.node
+        for endpoint in endpoints:
+            now_s = read_boot_clock()
+            if now_s >= order.limit_s:
+                flight.over = True
+                return None
+            away = endpoint.region != node.settings.region
+            if away and not node.shift.allows(now_s):
+                continue
+            if endpoint.name in flight.tried:
+                continue
+            result = await self._try_owners(flight, endpoint, order)
+            if result is None:
+                continue
+            if result.outcome is Outcome.FULL:
+                flight.full[endpoint.name] = result.finish_s
+                continue
+            if result.outcome in (Outcome.UNUSABLE, Outcome.UNSENT):
+                continue
+            node.shift.record(away, now_s)
+            flight.tried.append(endpoint.name)
+            if self._settle(flight, result):
+                return result
+            if flight.over:
+                return flight.spare
+        return None
+
+    async def _try_owners(
+        self, flight: Flight, endpoint: Endpoint, order: Order
+    ) -> Result | None:
+        """Send the request to the owner, or to the next if it is silent."""
+        for owner in self.node.list_owners(endpoint)[:2]:
+            try:
+                return await serve_at(self.node, owner, order, endpoint.name)
+            except OwnerUnreachable as error:
+                self.node.shun(owner)
+                log_event(
+                    "owner_unreachable",
+                    "WARNING",
+                    owner=owner,
+                    endpoint=endpoint.name,
+                    cause=str(error),
+                )
+        return None
+
+    def _settle(self, flight: Flight, result: Result) -> bool:
+        """Decide whether a result is final; prepare for another attempt.
+
+        :returns: whether it is the answer.
+        """
+        idempotent = flight.route.idempotent
+        if result.outcome is Outcome.ANSWERED:
+            if result.status < HTTP_SERVER_ERROR or not idempotent:
+                return True
+            flight.spare = result
+        elif result.outcome is Outcome.NOT_RUN:
+            flight.refused_by_endpoint = True
+        else:
+            flight.may_have_run = True
+        self._log_failure(flight, result)
+        flight.over = not self._may_repeat(flight, result)
+        return False
+
+    def _may_repeat(self, flight: Flight, result: Result) -> bool:
+        if flight.may_have_run and not flight.route.idempotent:
+            return False
+        if result.outcome is Outcome.LATE:
+            return False
+        if len(flight.tried) >= flight.route.max_attempts:
+            return False
+        instances = len(self.node.membership.records)
+        budget = self.node.find_budget(flight.service)
+        return budget.spend(read_boot_clock(), instances)
+
+    def _log_failure(self, flight: Flight, result: Result) -> None:
+        log_event(
+            "attempt_failed",
+            request=flight.request.find_text(self.dialect.request_id),
+            route=flight.route.name,
+            endpoint=flight.tried[-1],
+            outcome=result.outcome.value,
+            status=result.status,
+            cause=result.cause,
+        )
+
+    def _give_up(self, flight: Flight) -> Answer:
+        if flight.spare is not None:
+            spare = flight.spare
+            return Answer(spare.status, spare.headers, spare.body)
+        if flight.may_have_run:
+            now_s = read_boot_clock()
+            late = now_s >= flight.order.limit_s
+            status = HTTP_GATEWAY_TIMEOUT if late else HTTP_BAD_GATEWAY
+            log_event(
+                "request_failed",
+                request=flight.request.find_text(self.dialect.request_id),
+                status=status,
+            )
+            return self._make_answer(flight.request, status)
+        finish_s = min(flight.full.values(), default=MIN_RETRY_S)
+        return self._refuse(flight.request, finish_s, "full")
+
+    def _refuse(
+        self, request: Request, retry_s: float, reason: str
+    ) -> Answer:
+        """Refuse a request that has not run."""
+        retry_s = min(MAX_RETRY_S, max(MIN_RETRY_S, retry_s))
+        log_event(
+            "request_refused",
+            request=request.find_text(self.dialect.request_id),
+            reason=reason,
+            retry_s=retry_s,
+        )
+        return self._make_answer(
+            request,
+            HTTP_UNAVAILABLE,
+            ((b"retry-after", f"{retry_s:.3f}".encode()),),
+        )
+
+    def _make_answer(
+        self,
+        request: Request,
+        status: int,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+    ) -> Answer:
+        name = self.dialect.request_id
+        request_id = request.find(name)
+        if request_id is not None:
+            headers = (*headers, (name, request_id))
+        return Answer(status, headers)
--- /dev/null
+++ b/carawayvale/gateway/daemon.py
@@ -0,0 +1,195 @@
+"""The tasks of one gateway instance, from start to planned stop."""
+
+from collections.abc import Callable
+
+import curio
+
+from carawayvale.catalogue.dialect import Dialect
+from carawayvale.catalogue.mirror import StoredItem
+from carawayvale.catalogue.source import Source
+from carawayvale.contracts.clock import Clock
+from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.caller_port import CallerPort
+from carawayvale.gateway.feed import Feed
+from carawayvale.gateway.forwarding import OwnerPort
+from carawayvale.gateway.http_port import Handler
+from carawayvale.gateway.http_port import PortRules
+from carawayvale.gateway.node import GatewayNode
+from carawayvale.gateway.registration import Registration
+from carawayvale.gateway.settings import GatewaySettings
+from carawayvale.gateway.small_ports import LookupPort
+from carawayvale.gateway.small_ports import ReadyPort
+from carawayvale.links import handlers  # noqa: F401 registers handlers
+from carawayvale.links.keeper import DocumentKeeper
+from carawayvale.links.listener import Listener
+from carawayvale.links.listener import open_listener
+from carawayvale.links.membership import Membership
+from carawayvale.links.messages import MemberRecord
+from carawayvale.links.messages import MemberState
+from carawayvale.links.messages import Reports
+from carawayvale.links.peers import PeerHooks
+from carawayvale.links.peers import PeerTable
+from carawayvale.machines.incarnation import make_incarnation
+from carawayvale.platform.store_client import PlatformStore
+from carawayvale.telemetry.logs import log_event
+
+STORE_TIMEOUT_S = 1.0
+TICK_S = 0.1
+STOP_POLL_S = 0.05
+
+# Callers may keep a look-up for three times the time that it names.
+LOOKUP_TAIL_S = 3.2
+STOP_MARGIN_S = 0.6
+
+
+class GatewayDaemon:
+    """One gateway instance.
+
+    :param settings: settings of the process.
+    :param dialect: names of headers.
+    :param source: decodes the items of the store.
+    :param key: the deployment's key for links between instances.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        dialect: Dialect,
+        source: Source,
+        key: bytes,
+    ):
+        self.settings = settings
+        clock = Clock()
+        me = MemberRecord(
+            settings.name,
+            settings.region,
+            settings.domain,
+            settings.callers,
+            settings.peers,
+            make_incarnation(),
+            state=MemberState.IDLE,
+        )
+        membership = Membership(me, clock.read())
+        self.node = GatewayNode(settings, dialect, source, membership)
+        self.peers = PeerTable(
+            key,
+            settings.seeds,
+            clock,
+            None,
+            membership,
+            DocumentKeeper(),
+            PeerHooks(
+                self._on_members,
+                self._on_document,
+                self._make_reports,
+                self._take_reports,
+            ),
+        )
+        self.store = PlatformStore(settings.store, STORE_TIMEOUT_S)
+        self.feed = Feed(self.store, self.peers, self._on_items)
+        self.registration = Registration(self.store, settings)
+        self.callers = PortRules(CallerPort(self.node).handle)
+        self.internal = PortRules(OwnerPort(self.node).handle)
+        self.stop_wanted = curio.Event()
+
+    async def run(self) -> None:
+        """Serve until a planned stop is complete."""
+        settings = self.settings
+        listeners = [
+            Listener(open_listener(settings.callers), self.callers.serve),
+            Listener(open_listener(settings.internal), self.internal.serve),
+            Listener(open_listener(settings.peers), self.peers.accept),
+            self._open(settings.lookups, LookupPort(self.node).handle),
+            self._open(settings.readiness, ReadyPort(self.node).handle),
+        ]
+        tasks: list[Callable] = [listener.run for listener in listeners]
+        tasks += [
+            self.peers.run,
+            self.feed.run,
+            self.registration.run,
+            self._tick_always,
+            self._stop_when_asked,
+        ]
+        log_event(
+            "gateway_started",
+            instance=settings.name,
+            callers=settings.callers,
+            store=settings.store,
+        )
+        async with curio.TaskGroup(wait=any) as group:
+            for task in tasks:
+                await group.spawn(task)
+        if group.completed is not None and group.completed.exception:
+            raise group.completed.exception
+        log_event("gateway_stopped", instance=settings.name)
+
+    def _open(self, address, handle: Handler) -> Listener:
+        return Listener(open_listener(address), PortRules(handle).serve)
+
+    async def stop(self) -> None:
+        """Ask for a planned stop."""
+        await self.stop_wanted.set()
+
+    async def _on_items(self, items: list[StoredItem], fresh_s: float) -> None:
+        node = self.node
+        node.take_items(items, fresh_s)
+        configuration = node.catalogue.configuration
+        if configuration is not None:
+            self.callers.limits = configuration.limits
+            if not node.leaving:
+                await self._join()
+        live = set(self.node.keeper.instances.values())
+        self.peers.seeds = tuple(set(self.settings.seeds) | live)
+        for owned in list(node.owned.values()):
+            await owned.pump()
+            if not owned.is_usable:
+                await owned.wake_all()
+
+    async def _join(self) -> None:
+        membership = self.node.membership
+        if membership.me.state is MemberState.IDLE:
+            membership.join()
+            log_event("instance_ready", instance=self.settings.name)
+            await self.peers.settle()
+
+    async def _on_members(self) -> None:
+        self.node.assign()
+
+    async def _on_document(self) -> None:
+        """There is no document of the product's own on the platform."""
+
+    def _make_reports(self, region: str) -> Reports:
+        return Reports((), (), 0.0, ())
+
+    def _take_reports(self, peer: MemberRecord, reports: Reports) -> None:
+        return None
+
+    async def _tick_always(self) -> None:
+        while True:
+            await curio.sleep(TICK_S)
+            self.node.refresh()
+            now_s = read_boot_clock()
+            for owned in list(self.node.owned.values()):
+                if owned.needs_check(now_s):
+                    owned.checked_s = now_s
+                    await curio.spawn(owned.check, daemon=True)
+
+    async def _stop_when_asked(self) -> None:
+        await self.stop_wanted.wait()
+        node = self.node
+        began_s = read_boot_clock()
+        log_event("stop_requested", instance=self.settings.name)
+        node.leaving = True
+        node.membership.leave()
+        await self.peers.settle()
+        await self.peers.send_updates()
+        self.callers.closing = True
+        last_s = began_s + self.settings.bounds.grace_s - STOP_MARGIN_S
+        quiet_s = began_s + LOOKUP_TAIL_S
+        while read_boot_clock() < last_s:
+            await curio.sleep(STOP_POLL_S)
+            busy = self.callers.open_requests or self.internal.open_requests
+            if read_boot_clock() >= quiet_s and not busy:
+                break
+        await self.peers.say_goodbye()
+        await curio.sleep(STOP_POLL_S)
--- /dev/null
+++ b/carawayvale/gateway/forwarding.py
@@ -0,0 +1,239 @@
+"""Forwards a request to the owner of an endpoint, and receives it there.
+
+The request travels over HTTP/1.1 on kept connections; what the owner has
+to know besides travels in headers of our own, which callers cannot set.
+"""
+
+import curio
+
+from carawayvale.contracts.address import Address
+from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.http_port import Answer
+from carawayvale.gateway.http_port import Request
+from carawayvale.gateway.node import GatewayNode
+from carawayvale.gateway.owned import Order
+from carawayvale.gateway.upstream import MAX_ANSWER_BYTES
+from carawayvale.gateway.upstream import Outcome
+from carawayvale.gateway.upstream import Result
+from carawayvale.gateway.upstream import strip_hop_headers
+from carawayvale.links.connections import ConnectionPool
+from carawayvale.links.http import ConnectFailed
+from carawayvale.links.http import ConnectionBroken
+from carawayvale.links.http import Headers
+from carawayvale.links.http_client import HttpClient
+
+PREFIX = b"caraway-"
+ENDPOINT = PREFIX + b"endpoint"
+RANK = PREFIX + b"rank"
+IDEMPOTENT = PREFIX + b"idempotent"
+LATE = PREFIX + b"late"
+OBJECTIVE_MS = PREFIX + b"objective-ms"
+LIMIT_MS = PREFIX + b"limit-ms"
+OUTCOME = PREFIX + b"outcome"
+STATUS = PREFIX + b"status"
+FINISH_MS = PREFIX + b"finish-ms"
+CAUSE = PREFIX + b"cause"
+
+MS_PER_S = 1000.0
+CONNECT_TIMEOUT_S = 0.4
+ANSWER_MARGIN_S = 0.15
+HTTP_OK = 200
+
+
+class OwnerUnreachable(ConnectionError):
+    """No connection to an owner came about; nothing was sent."""
+
+
+def drop_own_headers(
+    headers: tuple[tuple[bytes, bytes], ...],
+) -> tuple[tuple[bytes, bytes], ...]:
+    """Drop headers that only instances may set.
+
+    :param headers: a caller's headers.
+    :returns: the others.
+    """
+    return tuple((n, v) for n, v in headers if not n.startswith(PREFIX))
+
+
+def encode_order(order: Order, endpoint: str, now_s: float) -> Headers:
+    """Encode a request and its times as headers.
+
+    :param order: the request.
+    :param endpoint: the endpoint that is to run it.
+    :param now_s: the time.
+    :returns: headers.
+    """
+    objective_ms = int((order.objective_s - now_s) * MS_PER_S)
+    limit_ms = int((order.limit_s - now_s) * MS_PER_S)
+    return [
+        *strip_hop_headers(list(order.request.headers)),
+        (ENDPOINT, endpoint.encode("latin-1")),
+        (RANK, b"%d" % order.rank),
+        (IDEMPOTENT, b"%d" % order.idempotent),
+        (LATE, b"%d" % order.may_be_late),
+        (OBJECTIVE_MS, b"%d" % objective_ms),
+        (LIMIT_MS, b"%d" % limit_ms),
+    ]
+
+
+def decode_order(request: Request, affinity: bytes) -> Order:
+    """Decode a forwarded request.
+
+    :param request: the request as it was received.
+    :param affinity: name of the header with the object.
+    :returns: the request and its times.
+    :raises ValueError: if a header is missing or malformed.
+    """
+    arrived_s = request.arrived_s
+    objective_s = int(request.find_text(OBJECTIVE_MS)) / MS_PER_S
+    limit_s = int(request.find_text(LIMIT_MS)) / MS_PER_S
+    original = Request(
+        request.method,
+        request.target,
+        drop_own_headers(request.headers),
+        request.body,
+        arrived_s,
+    )
+    return Order(
+        original,
+        int(request.find_text(RANK)),
+        request.find_text(affinity),
+        request.find(IDEMPOTENT) == b"1",
+        arrived_s + objective_s,
+        arrived_s + limit_s,
+        request.find(LATE) == b"1",
+    )
+
+
+def encode_result(result: Result) -> Answer:
+    """Encode the end of an attempt as an answer.
+
+    :param result: the result.
+    :returns: the answer.
+    """
+    headers = (
+        *result.headers,
+        (OUTCOME, result.outcome.value.encode()),
+        (STATUS, b"%d" % result.status),
+        (FINISH_MS, b"%d" % int(result.finish_s * MS_PER_S)),
+        (CAUSE, result.cause.encode("ascii", "replace")[:200]),
+    )
+    return Answer(HTTP_OK, headers, result.body)
+
+
+def decode_result(
+    headers: tuple[tuple[bytes, bytes], ...], body: bytes
+) -> Result:
+    """Decode the end of an attempt.
+
+    :param headers: headers of the answer.
+    :param body: its body.
+    :returns: the result.
+    :raises ValueError: if a header is missing or malformed.
+    """
+    own = {n: v.decode("latin-1") for n, v in headers if n.startswith(PREFIX)}
+    kept = drop_own_headers(tuple(strip_hop_headers(list(headers))))
+    return Result(
+        Outcome(own[OUTCOME]),
+        int(own[FINISH_MS]) / MS_PER_S,
+        int(own[STATUS]),
+        kept,
+        body,
+        own[CAUSE],
+    )
+
+
+async def forward_order(
+    pool: ConnectionPool, order: Order, endpoint: str
+) -> Result:
+    """Forward a request to the owner of an endpoint.
+
+    :param pool: connections to the owner's port.
+    :param order: the request.
+    :param endpoint: name of the endpoint.
+    :returns: the result; FAILED if the owner broke off.
+    :raises OwnerUnreachable: if no connection came about.
+    """
+    left_s = order.limit_s - read_boot_clock()
+    try:
+        client = await pool.acquire(
+            min(CONNECT_TIMEOUT_S, max(0.001, left_s)), not order.idempotent
+        )
+    except ConnectFailed as error:
+        raise OwnerUnreachable(str(error)) from None
+    done = False
+    try:
+        async with curio.timeout_after(left_s + ANSWER_MARGIN_S):
+            result = await _exchange(client, order, endpoint)
+        done = True
+    except curio.TaskTimeout:
+        result = Result(Outcome.LATE, cause="owner did not answer")
+    except (ConnectionBroken, ValueError, KeyError) as error:
+        result = Result(Outcome.FAILED, cause=f"owner: {error!r}")
+    finally:
+        if not done:
+            await client.close()
+    if done:
+        await pool.release(client)
+    return result
+
+
+async def _exchange(
+    client: HttpClient, order: Order, endpoint: str
+) -> Result:
+    headers = encode_order(order, endpoint, read_boot_clock())
+    request = order.request
+    await client.send_request(
+        request.method, request.target, headers, request.body
+    )
+    head = await client.read_head()
+    body = await client.read_body(MAX_ANSWER_BYTES)
+    return decode_result(head.headers, body)
+
+
+class OwnerPort:
+    """Serves the requests that other instances forward.
+
+    :param node: the instance.
+    """
+
+    def __init__(self, node: GatewayNode):
+        self.node = node
+
+    async def handle(self, request: Request) -> Answer:
+        """Serve a forwarded request.
+
+        :param request: the request.
+        :returns: the result as an answer.
+        """
+        try:
+            order = decode_order(request, self.node.dialect.affinity)
+        except ValueError as error:
+            return Answer(400, body=str(error).encode())
+        owned = self.node.find_owned(request.find_text(ENDPOINT))
+        if owned is None:
+            return encode_result(Result(Outcome.UNUSABLE))
+        return encode_result(await owned.serve(order))
+
+
+async def serve_at(
+    node: GatewayNode, owner: str, order: Order, endpoint: str
+) -> Result:
+    """Serve a request at the owner of an endpoint.
+
+    :param node: this instance.
+    :param owner: name of the owner, which may be this instance.
+    :param order: the request.
+    :param endpoint: name of the endpoint.
+    :returns: the result.
+    :raises OwnerUnreachable: if the owner cannot be reached.
+    """
+    if owner == node.settings.name:
+        owned = node.find_owned(endpoint)
+        if owned is None:
+            return Result(Outcome.UNUSABLE)
+        return await owned.serve(order)
+    address: Address | None = node.find_internal(owner)
+    if address is None:
+        raise OwnerUnreachable(owner)
+    return await forward_order(node.peer_pools.find(address), order, endpoint)
--- /dev/null
+++ b/carawayvale/gateway/owned.py
@@ -0,0 +1,359 @@
+"""An endpoint at the instance that alone sends requests to it."""
+
+from dataclasses import dataclass
+
+import curio
+
+from carawayvale.catalogue.dialect import Dialect
+from carawayvale.catalogue.records import Endpoint
+from carawayvale.catalogue.records import Service
+from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.http_port import Request
+from carawayvale.gateway.upstream import CONNECT_TIMEOUT_S
+from carawayvale.gateway.upstream import Outcome
+from carawayvale.gateway.upstream import Result
+from carawayvale.gateway.upstream import Upstream
+from carawayvale.links.connections import OutgoingCall
+from carawayvale.links.http import connect
+from carawayvale.links.http import ConnectionBroken
+from carawayvale.steering.admission import EndpointQueue
+from carawayvale.steering.admission import Job
+from carawayvale.steering.health import EndpointHealth
+from carawayvale.steering.health import Evidence
+from carawayvale.steering.rates import ColdLimit
+from carawayvale.telemetry.logs import log_event
+
+CHECK_TIMEOUT_S = 0.5
+MAX_CHECK_BYTES = 65536
+MIN_CHECK_GAP_S = 1.0
+
+# A request is overdue when it takes this much longer than usual.
+OVERDUE_FACTOR = 4.0
+OVERDUE_S = 0.5
+
+EVIDENCE = {
+    Outcome.ANSWERED: Evidence.ANSWERED,
+    Outcome.NOT_RUN: Evidence.REFUSED,
+    Outcome.UNSENT: Evidence.UNREACHABLE,
+    Outcome.FAILED: Evidence.BROKEN,
+    Outcome.LATE: Evidence.BROKEN,
+}
+
+
+@dataclass(frozen=True)
+class Order:
+    """A request that an owner is to serve, with its times.
+
+    :param request: the request as the caller sent it.
+    :param rank: priority; 0 is the most urgent.
+    :param key: the object that it concerns.
+    :param idempotent: whether it may run more than once.
+    :param objective_s: time by which its answer is worth most.
+    :param limit_s: time by which its answer is due.
+    :param may_be_late: whether it may be queued past its objective.
+    """
+
+    request: Request
+    rank: int
+    key: str
+    idempotent: bool
+    objective_s: float
+    limit_s: float
+    may_be_late: bool
+
+
+class Waiter:
+    """Wakes the task of a job when it gets a slot, or must give up."""
+
+    def __init__(self):
+        self.event = curio.Event()
+        self.started = False
+
+
+class OwnedEndpoint:
+    """Queue, health and connections of one endpoint.
+
+    :param dialect: names of headers.
+    :param endpoint: the endpoint.
+    :param service: its service.
+    :param fresh: whether requests of another owner may be under way.
+    """
+
+    def __init__(
+        self, dialect: Dialect, endpoint: Endpoint, service: Service
+    ):
+        self.dialect = dialect
+        self.endpoint = endpoint
+        self.service = service
+        self.queue = EndpointQueue(endpoint.slots)
+        self.health = EndpointHealth()
+        self.upstream = Upstream(dialect, endpoint)
+        self.waiters: dict[Job, Waiter] = {}
+        self.sending: dict[Job, Request] = {}
+        self.cold_until_s = 0.0
+        self.answered_s = 0.0
+        self.checked_s = 0.0
+        self.moved = False
+        self.blocked = False
+
+    def update(self, endpoint: Endpoint, service: Service, now_s: float):
+        """Take over a changed entry.
+
+        :param endpoint: the entry.
+        :param service: the service.
+        :param now_s: the time.
+        """
+        old = self.endpoint
+        self.endpoint, self.service = endpoint, service
+        self.upstream.endpoint = endpoint
+        restarted = endpoint.started_ms != old.started_ms
+        if endpoint.address != old.address or restarted:
+            self.upstream = Upstream(self.dialect, endpoint)
+            self.health = EndpointHealth()
+            self.queue.times.objects.clear()
+        if endpoint.revision != old.revision:
+            self.moved = False
+        self.queue.slots = endpoint.slots
+        self.note_cold(endpoint.cold_s, now_s)
+
+    def note_cold(self, cold_s: float, now_s: float) -> None:
+        """Take over how long the endpoint stays cold.
+
+        :param cold_s: seconds from now.
+        :param now_s: the time.
+        """
+        if cold_s > 0:
+            self.cold_until_s = max(self.cold_until_s, now_s + cold_s)
+        self._apply_cold(now_s)
+
+    def _apply_cold(self, now_s: float) -> None:
+        cold = now_s < self.cold_until_s and self.service.cold_rate > 0
+        if not cold:
+            self.queue.cold = None
+        elif self.queue.cold is None:
+            self.queue.cold = ColdLimit(self.service.cold_rate, now_s)
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether the endpoint may get requests."""
+        if self.endpoint.is_draining or self.moved or self.blocked:
+            return False
+        return self.health.is_usable
+
+    async def serve(self, order: Order) -> Result:
+        """Serve a request, or refuse it at once.
+
+        :param order: the request.
+        :returns: the result.
+        """
+        if not self.is_usable:
+            return Result(Outcome.UNUSABLE)
+        now_s = read_boot_clock()
+        self._apply_cold(now_s)
+        job = Job(
+            order.rank,
+            order.key,
+            order.objective_s,
+            order.limit_s,
+            order.may_be_late,
+        )
+        refusal = self.queue.offer(job, now_s)
+        if refusal is not None:
+            return Result(Outcome.FULL, refusal.finish_s)
+        served = False
+        try:
+            if not await self._await_slot(job):
+                return Result(Outcome.FULL, job.service_s)
+            result = await self._send(order, job)
+            served = result.outcome is Outcome.ANSWERED
+            return result
+        finally:
+            self.waiters.pop(job, None)
+            self.queue.withdraw(job)
+            self.queue.release(job, read_boot_clock(), served)
+            await self.pump()
+
+    async def _await_slot(self, job: Job) -> bool:
+        waiter = Waiter()
+        self.waiters[job] = waiter
+        await self.pump()
+        while not waiter.started:
+            now_s = read_boot_clock()
+            if not self.is_usable or job not in self.queue.waiting:
+                return False
+            wait_s = job.limit_s - job.service_s - now_s
+            due_s = self.queue.find_next_event(now_s)
+            if due_s is not None:
+                wait_s = min(wait_s, due_s - now_s)
+            async with curio.ignore_after(max(0.001, wait_s)):
+                await waiter.event.wait()
+            waiter.event.clear()
+            await self.pump()
+        return True
+
+    async def pump(self) -> None:
+        """Give free slots to waiting jobs; give up what is hopeless."""
+        now_s = read_boot_clock()
+        self._apply_cold(now_s)
+        for job in self.queue.drop_hopeless(now_s):
+            await self._wake(job)
+        while self.is_usable:
+            job = self.queue.take(now_s)
+            if job is None:
+                return
+            waiter = self.waiters.get(job)
+            if waiter is not None:
+                waiter.started = True
+            await self._wake(job)
+
+    async def _wake(self, job: Job) -> None:
+        waiter = self.waiters.get(job)
+        if waiter is not None:
+            await waiter.event.set()
+
+    async def wake_all(self) -> None:
+        """Let all waiting jobs look at the endpoint again."""
+        for waiter in list(self.waiters.values()):
+            await waiter.event.set()
+
+    async def _send(self, order: Order, job: Job) -> Result:
+        now_s = read_boot_clock()
+        left_s = order.limit_s - now_s
+        if left_s <= 0:
+            return Result(Outcome.FULL, job.service_s)
+        self.sending[job] = order.request
+        try:
+            result = await self.upstream.send(
+                order.request, left_s, order.idempotent
+            )
+        finally:
+            self.sending.pop(job, None)
+        self._learn(result)
+        return result
+
+    def _learn(self, result: Result) -> None:
+        now_s = read_boot_clock()
+        if result.outcome is Outcome.ANSWERED:
+            self.answered_s = now_s
+        if result.outcome is Outcome.NOT_RUN and result.status == 421:
+            self.moved = True
+            log_event("endpoint_moved", endpoint=self.endpoint.name)
+        usable = self.health.is_usable
+        self.health.record(EVIDENCE[result.outcome], now_s)
+        if usable and not self.health.is_usable:
+            log_event(
+                "endpoint_ejected",
+                "WARNING",
+                endpoint=self.endpoint.name,
+                cause=result.cause,
+            )
+
+    def list_overdue(self, now_s: float) -> list[Job]:
+        """List the requests that take far longer than usual.
+
+        :param now_s: the time.
+        :returns: their jobs.
+        """
+        return [
+            job
+            for job in self.sending
+            if now_s - job.started_s
+            > OVERDUE_FACTOR * job.service_s + OVERDUE_S
+        ]
+
+    def needs_check(self, now_s: float) -> bool:
+        """Tell whether the endpoint should be checked now.
+
+        :param now_s: the time.
+        :returns: whether it is ejected, or requests are overdue.
+        """
+        if self.health.needs_check(now_s):
+            return True
+        if now_s - self.checked_s < MIN_CHECK_GAP_S:
+            return False
+        return self.health.is_usable and bool(self.list_overdue(now_s))
+
+    async def check(self) -> None:
+        """Check an endpoint that is ejected or does not answer."""
+        now_s = read_boot_clock()
+        self.checked_s = now_s
+        if self.health.is_usable:
+            await self._check_reachable()
+        else:
+            await self._check_healthy()
+
+    async def _check_reachable(self) -> None:
+        try:
+            sock = await connect(self.endpoint.address, CHECK_TIMEOUT_S)
+        except ConnectionBroken as error:
+            self.health.eject(read_boot_clock())
+            log_event(
+                "endpoint_ejected",
+                "WARNING",
+                endpoint=self.endpoint.name,
+                cause=f"no connection: {error}",
+            )
+            await self.upstream.pool.close()
+            await self.wake_all()
+            self._abort(list(self.sending))
+            return
+        await sock.close()
+        now_s = read_boot_clock()
+        overdue = self.list_overdue(now_s)
+        # The endpoint answers others, so these connections are dead.
+        self._abort([j for j in overdue if self.answered_s > j.started_s])
+
+    def _abort(self, jobs: list[Job]) -> None:
+        for job in jobs:
+            request = self.sending.get(job)
+            if request is not None:
+                self.upstream.abort(request)
+
+    async def _check_healthy(self) -> None:
+        name = self.endpoint.name.encode("latin-1")
+        host = str(self.endpoint.address).encode()
+        call = OutgoingCall(
+            "GET", self.service.health_path, [(b"host", host)]
+        )
+        passed = False
+        cold_s = 0.0
+        try:
+            reply = await self.upstream.pool.exchange(
+                call, CHECK_TIMEOUT_S, MAX_CHECK_BYTES
+            )
+            same = reply.head.find(self.dialect.endpoint) == name
+            passed = same and reply.head.status == 200
+            cold_s = read_cold(reply.head.find(self.dialect.cold_ms))
+        except (ConnectionBroken, curio.TaskTimeout) as error:
+            log_event(
+                "check_failed",
+                "DEBUG",
+                endpoint=self.endpoint.name,
+                cause=repr(error),
+            )
+        now_s = read_boot_clock()
+        self.health.record_check(passed, now_s)
+        if passed:
+            self.note_cold(cold_s, now_s)
+            log_event(
+                "endpoint_restored",
+                endpoint=self.endpoint.name,
+                cold_s=cold_s,
+            )
+            await self.wake_all()
+
+    async def close(self) -> None:
+        """Close the kept connections."""
+        await self.upstream.pool.close()
+
+
+def read_cold(value: bytes | None) -> float:
+    """Read how long an endpoint stays cold.
+
+    :param value: milliseconds, or None.
+    :returns: seconds; 0 if it is not told.
+    """
+    try:
+        return max(0.0, float(value) / 1000.0) if value else 0.0
+    except ValueError:
+        return 0.0
--- /dev/null
+++ b/carawayvale/gateway/registration.py
@@ -0,0 +1,52 @@
+"""Enters this instance in the store, so that others find it there."""
+
+import curio
+
+from carawayvale.gateway.settings import GatewaySettings
+from carawayvale.platform.source import encode_instance
+from carawayvale.platform.source import INSTANCES_PREFIX
+from carawayvale.platform.store_client import LeaseEnded
+from carawayvale.platform.store_client import PlatformStore
+from carawayvale.platform.store_client import StoreFailed
+from carawayvale.platform.store_client import Write
+from carawayvale.telemetry.logs import log_event
+
+TTL_S = 15.0
+RENEW_S = 5.0
+RETRY_S = 2.0
+
+
+class Registration:
+    """Keeps the instance's entry under a lease.
+
+    :param store: the store.
+    :param settings: settings of the instance.
+    """
+
+    def __init__(self, store: PlatformStore, settings: GatewaySettings):
+        self.store = store
+        self.settings = settings
+        self.lease = 0
+
+    async def run(self) -> None:
+        """Enter the instance and renew its lease until cancelled."""
+        while True:
+            try:
+                await self._keep()
+                await curio.sleep(RENEW_S)
+            except LeaseEnded:
+                log_event("lease_ended", "WARNING", lease=self.lease)
+                self.lease = 0
+            except StoreFailed as error:
+                log_event("lease_not_renewed", "WARNING", cause=str(error))
+                await curio.sleep(RETRY_S)
+
+    async def _keep(self) -> None:
+        if self.lease:
+            await self.store.renew_lease(self.lease)
+            return
+        lease = await self.store.open_lease(TTL_S)
+        key = INSTANCES_PREFIX + self.settings.name
+        value = encode_instance(self.settings.peers)
+        await self.store.write(Write(key, value, lease))
+        self.lease = lease
--- /dev/null
+++ b/carawayvale/gateway/upstream.py
@@ -0,0 +1,205 @@
+"""One exchange with an endpoint and the judgement of its answer."""
+
+from dataclasses import dataclass
+from enum import Enum
+from socket import SHUT_RDWR
+
+import curio
+
+from carawayvale.catalogue.dialect import Dialect
+from carawayvale.catalogue.records import Endpoint
+from carawayvale.gateway.http_port import Request
+from carawayvale.links.connections import ConnectionPool
+from carawayvale.links.http import AnswerHead
+from carawayvale.links.http import ConnectFailed
+from carawayvale.links.http import ConnectionBroken
+from carawayvale.links.http import Headers
+from carawayvale.links.http_client import HttpClient
+from carawayvale.telemetry.logs import log_event
+
+MS_PER_S = 1000.0
+CONNECT_TIMEOUT_S = 0.5
+MAX_ANSWER_BYTES = 1 << 26
+MAX_REUSE_IDLE_S = 4.0
+
+# An endpoint answers at its deadline by itself; this is added for the
+# way of that answer.
+DEADLINE_MARGIN_S = 0.06
+
+HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    }
+)
+
+
+class Outcome(Enum):
+    """How a request fared at an endpoint or its owner.
+
+    FULL and UNUSABLE come from the owner: nothing was sent. UNSENT:
+    no connection. NOT_RUN: the endpoint says so. FAILED: it may have
+    run, and there is no usable answer. LATE: it may have run, and the
+    time is over.
+    """
+
+    ANSWERED = "answered"
+    FULL = "full"
+    UNUSABLE = "unusable"
+    UNSENT = "unsent"
+    NOT_RUN = "not_run"
+    FAILED = "failed"
+    LATE = "late"
+
+
+SENT = frozenset({Outcome.NOT_RUN, Outcome.FAILED, Outcome.LATE})
+
+
+@dataclass(frozen=True)
+class Result:
+    """The end of one attempt.
+
+    :param outcome: how it ended.
+    :param finish_s: for FULL, seconds until it would be answered.
+    :param status: status of the endpoint's answer.
+    :param headers: its headers, but for those of the connection.
+    :param body: its body.
+    :param cause: words for the log.
+    """
+
+    outcome: Outcome
+    finish_s: float = 0.0
+    status: int = 0
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    body: bytes = b""
+    cause: str = ""
+
+
+def strip_hop_headers(headers: Headers) -> Headers:
+    """Drop the headers that concern one connection only.
+
+    :param headers: all headers.
+    :returns: the others.
+    """
+    named = set(HOP_HEADERS)
+    for name, value in headers:
+        if name == b"connection":
+            named.update(v.strip().lower() for v in value.split(b","))
+    return [(n, v) for n, v in headers if n not in named]
+
+
+class Upstream:
+    """Sends requests to one endpoint over kept connections.
+
+    :param dialect: names of headers.
+    :param endpoint: the endpoint.
+    """
+
+    def __init__(self, dialect: Dialect, endpoint: Endpoint):
+        self.dialect = dialect
+        self.endpoint = endpoint
+        self.pool = ConnectionPool(endpoint.address)
+        self.active: dict[int, HttpClient] = {}
+
+    async def send(
+        self, request: Request, left_s: float, idempotent: bool
+    ) -> Result:
+        """Send a request and read its whole answer.
+
+        :param request: the request.
+        :param left_s: seconds until the answer is due.
+        :param idempotent: whether it may be sent again.
+        :returns: the result.
+        """
+        try:
+            client = await self.pool.acquire(
+                min(CONNECT_TIMEOUT_S, left_s), not idempotent
+            )
+        except ConnectFailed as error:
+            return Result(Outcome.UNSENT, cause=str(error))
+        keep = False
+        token = id(request)
+        if idempotent:
+            self.active[token] = client
+        try:
+            async with curio.timeout_after(left_s + DEADLINE_MARGIN_S):
+                result = await self._exchange(client, request, left_s)
+            keep = result.outcome in (Outcome.ANSWERED, Outcome.NOT_RUN)
+        except curio.TaskTimeout:
+            result = Result(Outcome.LATE, cause="no answer in time")
+        except ConnectionBroken as error:
+            result = Result(Outcome.FAILED, cause=str(error))
+        finally:
+            self.active.pop(token, None)
+            if not keep:
+                await client.close()
+        if keep:
+            await self.pool.release(client)
+        return result
+
+    def abort(self, request: Request) -> None:
+        """End an exchange that may be repeated elsewhere.
+
+        :param request: its request; one that may run only once goes on.
+        """
+        client = self.active.get(id(request))
+        if client is None:
+            return
+        try:
+            client.sock._socket.shutdown(SHUT_RDWR)
+        except OSError as error:
+            log_event("abort_failed", "DEBUG", cause=str(error))
+
+    async def _exchange(
+        self, client: HttpClient, request: Request, left_s: float
+    ) -> Result:
+        headers = self._make_headers(request, left_s)
+        await client.send_request(
+            request.method, request.target, headers, request.body
+        )
+        head = await client.read_head()
+        body = await client.read_body(MAX_ANSWER_BYTES)
+        return self._judge(request, head, body)
+
+    def _make_headers(self, request: Request, left_s: float) -> Headers:
+        dialect = self.dialect
+        left_ms = b"%d" % max(1, int(left_s * MS_PER_S))
+        replaced = (dialect.deadline_ms, dialect.expected_endpoint)
+        kept = strip_hop_headers(list(request.headers))
+        headers = [(n, v) for n, v in kept if n not in replaced]
+        headers.append((dialect.deadline_ms, left_ms))
+        name = self.endpoint.name.encode("latin-1")
+        headers.append((dialect.expected_endpoint, name))
+        return headers
+
+    def _judge(
+        self, request: Request, head: AnswerHead, body: bytes
+    ) -> Result:
+        """Tell whether an answer belongs to the request and is whole."""
+        dialect = self.dialect
+        if head.find(dialect.not_run) is not None or head.status == 421:
+            return Result(
+                Outcome.NOT_RUN,
+                status=head.status,
+                headers=tuple(head.headers),
+                cause=f"status {head.status}",
+            )
+        if head.find(dialect.request_id) != request.find(dialect.request_id):
+            return Result(Outcome.FAILED, cause="answer of another request")
+        if head.find(dialect.stamp) is None:
+            return Result(Outcome.FAILED, cause="answer without a stamp")
+        if head.find(b"content-encoding") is not None:
+            return Result(Outcome.FAILED, cause="body is encoded")
+        headers = tuple(strip_hop_headers(list(head.headers)))
+        return Result(
+            Outcome.ANSWERED, 0.0, head.status, headers, body
+        )
--- a/carawayvale/links/connections.py
+++ b/carawayvale/links/connections.py
@@ -7,7 +7,7 @@
 import curio
 
 from carawayvale.contracts.clock import read_boot_clock
-from carawayvale.contracts.fields import Address
+from carawayvale.contracts.address import Address
 from carawayvale.links.http import AnswerHead
 from carawayvale.links.http import connect
 from carawayvale.links.http import CONNECT_TIMEOUT_S
--- a/carawayvale/links/http.py
+++ b/carawayvale/links/http.py
@@ -9,7 +9,7 @@
 from curio.io import Socket
 from curio import socket
 
-from carawayvale.contracts.fields import Address
+from carawayvale.contracts.address import Address
 
 READ_BYTES = 65536
 MAX_HEADER_BYTES = 16384
--- a/carawayvale/links/listener.py
+++ b/carawayvale/links/listener.py
@@ -8,7 +8,7 @@
 from curio.io import Socket
 from curio import socket
 
-from carawayvale.contracts.fields import Address
+from carawayvale.contracts.address import Address
 from carawayvale.links.http import disable_nagle
 from carawayvale.telemetry.logs import log_event
 
--- a/carawayvale/links/membership.py
+++ b/carawayvale/links/membership.py
@@ -39,7 +39,7 @@
     :param records: records of all known instances by name.
     :param now_s: time of creation.
 
-    >>> from carawayvale.contracts.fields import Address
+    >>> from carawayvale.contracts.address import Address
     >>> port = Address("127.0.0.1", 1)
     >>> me = MemberRecord("e1", "zurich", "zurich-a", port, port, 1)
     >>> [m.name for m in Membership(me).list_serving()]
--- a/carawayvale/links/messages.py
+++ b/carawayvale/links/messages.py
@@ -8,7 +8,7 @@
 
 import cbor2
 
-from carawayvale.contracts.fields import Address
+from carawayvale.contracts.address import Address
 
 MESSAGE_KINDS: dict[int, type] = {}
 MAX_MESSAGE_BYTES = 2_000_000
--- a/carawayvale/links/peers.py
+++ b/carawayvale/links/peers.py
@@ -12,7 +12,7 @@
 from curio.io import Socket
 
 from carawayvale.contracts.clock import Clock
-from carawayvale.contracts.fields import Address
+from carawayvale.contracts.address import Address
 from carawayvale.links.http import connect
 from carawayvale.links.http import ConnectFailed
 from carawayvale.links.keeper import DocumentKeeper
@@ -135,6 +135,7 @@
     :param membership: the member list.
     :param keeper: the document in force.
     :param hooks: calls into the rest of the instance.
+    :param feed: takes changes in the store from peers, if there is one.
     """
 
     key: bytes
@@ -155,6 +156,7 @@
     beaten_s: float = 0.0
     seen_generation: int = -1
     closed_traffic: Traffic = NO_TRAFFIC
+    feed: Any = None
 
     def __post_init__(self):
         self.random = random.Random(self.membership.me.incarnation)
@@ -375,6 +377,18 @@
         for opened in list(self.links.values()):
             await opened.link.post_packed(data)
 
+    async def send_region(self, message: Any, source: str) -> None:
+        """Send a message on the links within the own region.
+
+        :param message: the message.
+        :param source: name of a peer that needs no copy.
+        """
+        data = pack_message(message)
+        for name, opened in list(self.links.items()):
+            local = opened.link.peer.region == self.membership.me.region
+            if local and name != source:
+                await opened.link.post_packed(data)
+
     async def say_goodbye(self) -> None:
         """Tell all peers that this instance is gone."""
         self.membership.retire()
--- a/carawayvale/machines/__init__.py
+++ b/carawayvale/machines/__init__.py
@@ -15,7 +15,7 @@
 from carawayvale.machines.dispatcher import Job
 from carawayvale.machines.dispatcher import RankQueue
 from carawayvale.machines.entry import EntryInstance
-from carawayvale.machines.entry import make_incarnation
+from carawayvale.machines.incarnation import make_incarnation
 from carawayvale.machines.entry import settle_memory
 from carawayvale.machines.exchange import Exchange
 from carawayvale.machines.exchange import refuse_claim
--- a/carawayvale/machines/entry.py
+++ b/carawayvale/machines/entry.py
@@ -3,8 +3,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import gc
-import secrets
-import time
 
 import curio
 
@@ -20,28 +18,18 @@
 from carawayvale.links.peers import PeerTable
 from carawayvale.links.tls import load_tls
 from carawayvale.machines.caller_port import CallerPort
+from carawayvale.machines.incarnation import make_incarnation
 from carawayvale.machines.node import Node
 from carawayvale.machines.operator_port import OperatorPort
 from carawayvale.machines.prober import Prober
 from carawayvale.telemetry.logs import log_event
 
-INCARNATION_BITS = 16
-MS_PER_S = 1000
 PUMP_S = 0.05
 DRAIN_POLL_S = 0.05
 DRAIN_MARGIN_S = 1.0
 GOODBYE_S = 0.5
 
 
-def make_incarnation() -> int:
-    """Make the number that tells this process from earlier ones.
-
-    :returns: a number that grows with the wall clock.
-    """
-    now_ms = int(time.time() * MS_PER_S)
-    return (now_ms << INCARNATION_BITS) | secrets.randbits(INCARNATION_BITS)
-
-
 def settle_memory() -> None:
     """Exempt all present objects from garbage collection.
 
--- a/carawayvale/machines/prober.py
+++ b/carawayvale/machines/prober.py
@@ -2,7 +2,7 @@
 
 import curio
 
-from carawayvale.contracts.fields import Address
+from carawayvale.contracts.address import Address
 from carawayvale.contracts import headers as names
 from carawayvale.links.connections import OutgoingCall
 from carawayvale.links.http import ConnectionBroken
--- /dev/null
+++ b/carawayvale/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform; decides nothing."""
--- /dev/null
+++ b/carawayvale/platform/__main__.py
@@ -0,0 +1,38 @@
+"""Runs a gateway instance on the platform."""
+
+import os
+import sys
+
+from carawayvale.commands.run import run_daemon
+from carawayvale.contracts.findings import InvalidInput
+from carawayvale.gateway.daemon import GatewayDaemon
+from carawayvale.platform.headers import DIALECT
+from carawayvale.platform.settings import find_settings
+from carawayvale.platform.settings import load_settings
+from carawayvale.platform.source import PlatformSource
+from carawayvale.telemetry.logs import start_logs
+
+KEY_VARIABLE = "CARAWAYVALE_KEY"
+EXIT_INVALID = 2
+
+
+def main() -> int:
+    """Run until a planned stop.
+
+    :returns: the process's exit status.
+    """
+    start_logs("INFO", sys.stdout)
+    try:
+        settings = load_settings(find_settings())
+    except InvalidInput as error:
+        print(error, file=sys.stderr)
+        return EXIT_INVALID
+    key = os.environ.get(KEY_VARIABLE, "").encode()
+    source = PlatformSource(settings.regions)
+    daemon = GatewayDaemon(settings, DIALECT, source, key)
+    run_daemon(daemon.run, daemon.stop)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/carawayvale/platform/configuration.py
@@ -0,0 +1,153 @@
+"""The operators' configuration as it lies in the platform's store."""
+
+from collections.abc import Callable
+import json
+from typing import Any
+
+from carawayvale.catalogue.mirror import StoredItem
+from carawayvale.catalogue.records import Configuration
+from carawayvale.catalogue.records import Limits
+from carawayvale.catalogue.records import Part
+from carawayvale.catalogue.records import Route
+from carawayvale.catalogue.records import Service
+from carawayvale.contracts.findings import Finding
+from carawayvale.contracts.findings import InvalidInput
+from carawayvale.contracts.findings import Place
+from carawayvale.platform.units import parse_duration
+from carawayvale.platform.units import read_field
+from carawayvale.platform.units import read_rows
+
+CONFIGURATION_KEY = "op/config"
+EVACUATE_PREFIX = "op/evacuate/"
+NUMBER = (int, float)
+
+# Only these may run more than once; any other kind may not.
+IDEMPOTENT_KINDS = frozenset({"safe"})
+
+
+def decode_configuration(item: StoredItem) -> Configuration:
+    """Decode a configuration.
+
+    :param item: its item in the store.
+    :returns: the configuration.
+    :raises InvalidInput: with all findings.
+    """
+    try:
+        table = json.loads(item.value)
+        version = read_field(table, "version", int)
+        routes = read_rows(read_field(table, "routes", dict))
+        services = read_rows(read_field(table, "services", dict))
+    except (ValueError, RecursionError) as error:
+        raise InvalidInput([_find(item.key, "", str(error))]) from None
+    findings: list[Finding] = []
+    decoded = _decode_all(item.key, "services", services, _decode_service)
+    findings += decoded[1]
+    named = {service.name: service for service in decoded[0]}
+    decoded = _decode_all(item.key, "routes", routes, _decode_route)
+    findings += decoded[1]
+    for route in decoded[0]:
+        findings += _check_parts(item.key, route, named)
+    limits = Limits()
+    try:
+        limits = _decode_limits(table.get("limits", {}))
+    except ValueError as error:
+        findings.append(_find(item.key, "limits", str(error)))
+    if findings:
+        raise InvalidInput(findings)
+    return Configuration(
+        version, item.revision, tuple(decoded[0]), named, limits
+    )
+
+
+def _find(source: str, section: str, message: str) -> Finding:
+    return Finding(Place(source, section), message)
+
+
+def _decode_all(
+    source: str,
+    section: str,
+    rows: list[dict[str, Any]],
+    decode: Callable[[dict[str, Any]], Any],
+) -> tuple[list[Any], list[Finding]]:
+    decoded = []
+    findings = []
+    for number, row in enumerate(rows):
+        try:
+            decoded.append(decode(row))
+        except ValueError as error:
+            place = f"{section}:{row.get('name', number)}"
+            findings.append(_find(source, place, str(error)))
+    return decoded, findings
+
+
+def _check_parts(
+    source: str, route: Route, services: dict[str, Service]
+) -> list[Finding]:
+    return [
+        _find(source, f"routes:{route.name}", f"unknown service {p.service!r}")
+        for p in route.parts
+        if p.service not in services
+    ]
+
+
+def _decode_service(row: dict[str, Any]) -> Service:
+    return Service(
+        name=read_field(row, "name", str),
+        health_path=row.get("health_path", "/health"),
+        max_connections=row.get("max_conns", 0),
+        cold_s=parse_duration(row.get("cold", "0s")),
+        cold_rate=float(row.get("cold_per_s", 0)),
+    )
+
+
+def _decode_route(row: dict[str, Any]) -> Route:
+    attempts = row.get("max_attempts", 1)
+    if not isinstance(attempts, int) or attempts < 1:
+        raise ValueError(f"max_attempts must be at least 1, not {attempts!r}")
+    prefix = read_field(row, "prefix", str)
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        raise ValueError(f"prefix {prefix!r} needs a slash at both ends")
+    timeout_s = parse_duration(row.get("timeout", "60s"))
+    return Route(
+        name=read_field(row, "name", str),
+        host=read_field(row, "host", str).lower(),
+        prefix=prefix,
+        idempotent=read_field(row, "kind", str) in IDEMPOTENT_KINDS,
+        timeout_s=timeout_s,
+        objective_s=parse_duration(row["target_latency"])
+        if "target_latency" in row
+        else timeout_s,
+        rank=row.get("priority", 0),
+        max_attempts=attempts,
+        parts=_decode_parts(row),
+        homes=frozenset(row.get("allowed_regions") or ()),
+        sticky=bool(row.get("session_affinity", False)),
+    )
+
+
+def _decode_parts(row: dict[str, Any]) -> tuple[Part, ...]:
+    split = row.get("traffic_split")
+    if not split:
+        return (Part(read_field(row, "service", str), 1.0),)
+    parts = tuple(
+        Part(
+            read_field(part, "service", str),
+            float(read_field(part, "weight", NUMBER)),
+        )
+        for part in split
+    )
+    if min(part.weight for part in parts) < 0:
+        raise ValueError("a weight is negative")
+    if not sum(part.weight for part in parts):
+        raise ValueError("all weights are 0")
+    return parts
+
+
+def _decode_limits(table: dict[str, Any]) -> Limits:
+    known = Limits()
+    return Limits(
+        header_bytes=table.get("max_header_bytes", known.header_bytes),
+        body_bytes=table.get("max_body_bytes", known.body_bytes),
+        header_timeout_s=parse_duration(table.get("header_timeout", "3s")),
+        idle_timeout_s=parse_duration(table.get("idle_timeout", "15s")),
+    )
--- /dev/null
+++ b/carawayvale/platform/entries.py
@@ -0,0 +1,66 @@
+"""Endpoints as they enter themselves in the platform's store."""
+
+from collections.abc import Mapping
+import json
+from typing import Any
+
+from carawayvale.catalogue.mirror import StoredItem
+from carawayvale.catalogue.records import Endpoint
+from carawayvale.catalogue.records import EndpointState
+from carawayvale.platform.units import parse_address
+from carawayvale.platform.units import parse_duration
+from carawayvale.platform.units import read_field
+
+SERVERS_PREFIX = "servers/"
+
+STATES = {
+    "ready": EndpointState.READY,
+    "draining": EndpointState.DRAINING,
+}
+
+
+def decode_endpoint(item: StoredItem, regions: Mapping[str, str]) -> Endpoint:
+    """Decode what an endpoint says of itself.
+
+    :param item: its item in the store.
+    :param regions: regions by failure domain.
+    :returns: the endpoint.
+    :raises ValueError: if anything is missing or of another form.
+    """
+    try:
+        table = json.loads(item.value)
+        return _decode_table(item, table, regions)
+    except (KeyError, TypeError, RecursionError, OverflowError) as error:
+        raise ValueError(f"cannot be read: {error!r}") from None
+
+
+def _decode_table(
+    item: StoredItem, table: Any, regions: Mapping[str, str]
+) -> Endpoint:
+    info = read_field(table, "info", dict)
+    status = read_field(table, "status", dict)
+    domain = read_field(info, "zone", str)
+    state = read_field(status, "state", str)
+    if domain not in regions:
+        raise ValueError(f"zone {domain!r} is not known")
+    if state not in STATES:
+        raise ValueError(f"state {state!r} is not known")
+    slots = read_field(info, "slots", int)
+    if slots < 1:
+        raise ValueError(f"slots must be at least 1, not {slots}")
+    started_ms = 0
+    if "born" in table:
+        started_ms = read_field(table, "born", int)
+    return Endpoint(
+        name=item.key.removeprefix(SERVERS_PREFIX),
+        address=parse_address(read_field(table, "address", str)),
+        service=read_field(info, "service", str),
+        region=regions[domain],
+        domain=domain,
+        slots=slots,
+        state=STATES[state],
+        cold_s=parse_duration(status.get("cold_left", "0ms")),
+        started_ms=started_ms,
+        sequence=read_field(status, "seq", int),
+        revision=item.revision,
+    )
--- /dev/null
+++ b/carawayvale/platform/headers.py
@@ -0,0 +1,15 @@
+"""Header names on the platform."""
+
+from carawayvale.catalogue.dialect import Dialect
+
+DIALECT = Dialect(
+    request_id=b"x-request-id",
+    deadline_ms=b"x-deadline-ms",
+    affinity=b"x-affinity-key",
+    stamp=b"x-server-stamp",
+    not_run=b"x-not-executed",
+    expected_endpoint=b"x-expect-instance",
+    endpoint=b"x-instance-id",
+    load=b"x-server-load",
+    cold_ms=b"x-cold-ms",
+)
--- /dev/null
+++ b/carawayvale/platform/source.py
@@ -0,0 +1,78 @@
+"""Decodes the items of the platform's store by their keys."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+
+from carawayvale.catalogue.mirror import StoredItem
+from carawayvale.catalogue.source import ConfigurationRead
+from carawayvale.catalogue.source import EndpointRead
+from carawayvale.catalogue.source import EvacuationRead
+from carawayvale.catalogue.source import InstanceRead
+from carawayvale.catalogue.source import Reading
+from carawayvale.catalogue.source import Source
+from carawayvale.contracts.address import Address
+from carawayvale.platform.configuration import CONFIGURATION_KEY
+from carawayvale.platform.configuration import decode_configuration
+from carawayvale.platform.configuration import EVACUATE_PREFIX
+from carawayvale.platform.entries import decode_endpoint
+from carawayvale.platform.entries import SERVERS_PREFIX
+from carawayvale.platform.units import parse_address
+
+INSTANCES_PREFIX = "carawayvale/instances/"
+
+
+class PlatformSource(Source):
+    """The items of the platform's store.
+
+    :param regions: regions by failure domain.
+    """
+
+    def __init__(self, regions: Mapping[str, str]):
+        self.regions = regions
+
+    def decode(self, item: StoredItem) -> Reading | None:
+        """Decode an item; see :class:`Source`."""
+        for prefix, decode in DECODERS.items():
+            if item.key.startswith(prefix):
+                return decode(self, item)
+        return None
+
+    def _decode_configuration(self, item: StoredItem) -> Reading | None:
+        if item.key != CONFIGURATION_KEY:
+            return None
+        if item.value is None:
+            return ConfigurationRead(None)
+        return ConfigurationRead(decode_configuration(item))
+
+    def _decode_evacuation(self, item: StoredItem) -> Reading:
+        domain = item.key.removeprefix(EVACUATE_PREFIX)
+        return EvacuationRead(domain, item.value is not None)
+
+    def _decode_endpoint(self, item: StoredItem) -> Reading:
+        name = item.key.removeprefix(SERVERS_PREFIX)
+        if item.value is None:
+            return EndpointRead(name, None)
+        return EndpointRead(name, decode_endpoint(item, self.regions))
+
+    def _decode_instance(self, item: StoredItem) -> Reading:
+        name = item.key.removeprefix(INSTANCES_PREFIX)
+        if item.value is None:
+            return InstanceRead(name, None)
+        return InstanceRead(name, parse_address(item.value.decode("ascii")))
+
+
+def encode_instance(peers: Address) -> bytes:
+    """Encode an instance's own entry.
+
+    :param peers: its port for peers.
+    :returns: the value of the item.
+    """
+    return str(peers).encode("ascii")
+
+
+DECODERS: dict[str, Callable[[PlatformSource, StoredItem], Reading | None]] = {
+    EVACUATE_PREFIX: PlatformSource._decode_evacuation,
+    CONFIGURATION_KEY: PlatformSource._decode_configuration,
+    SERVERS_PREFIX: PlatformSource._decode_endpoint,
+    INSTANCES_PREFIX: PlatformSource._decode_instance,
+}
--- a/carawayvale/standins/caller.py
+++ b/carawayvale/standins/caller.py
@@ -14,7 +14,7 @@
 import xxhash
 
 from carawayvale.contracts.clock import read_boot_clock
-from carawayvale.contracts.fields import Address
+from carawayvale.contracts.address import Address
 from carawayvale.contracts.fields import parse_address
 from carawayvale.contracts import headers as names
 from carawayvale.contracts.retries import IDEMPOTENT_METHODS
--- /dev/null
+++ b/carawayvale/steering/admission.py
@@ -0,0 +1,252 @@
+"""Admits and queues the requests for one endpoint at its owner.
+
+Answers the load of more requests than slots. A request that can still be
+answered within its objective goes first, by rank and then by arrival;
+one that cannot is queued behind those while it is likely to end before
+its limit. A request that cannot be served is refused at once.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from dataclasses import field
+import heapq
+
+from carawayvale.steering.rates import ColdLimit
+
+FIRST_SERVICE_S = 0.1
+SERVICE_WEIGHT = 0.2
+WARM_OBJECTS = 256
+
+# A late request is overtaken by those in time that arrive after it, so
+# it is admitted only if it would end in this part of the time it has.
+LATE_PART = 0.6
+
+
+@dataclass(eq=False)
+class Job:
+    """A request that waits for a slot or holds one.
+
+    :param rank: priority; 0 is the most urgent.
+    :param key: the object that it concerns.
+    :param objective_s: time by which its answer is worth most.
+    :param limit_s: time by which its answer is due.
+    :param may_be_late: whether it may be queued past its objective.
+    """
+
+    rank: int
+    key: str
+    objective_s: float
+    limit_s: float
+    may_be_late: bool = False
+    arrived_s: float = 0.0
+    started_s: float = 0.0
+    service_s: float = FIRST_SERVICE_S
+    late: bool = False
+    known_object: bool = False
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """Why a job is not admitted.
+
+    :param finish_s: seconds until it would be answered.
+    """
+
+    finish_s: float
+
+
+@dataclass
+class ServiceTimes:
+    """Mean service times of an endpoint, for known and new objects."""
+
+    known_s: float = 0.0
+    new_s: float = 0.0
+    objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
+
+    def knows(self, key: str) -> bool:
+        """Tell whether the endpoint handled an object lately.
+
+        :param key: the object.
+        :returns: whether it did.
+        """
+        return key in self.objects
+
+    def remember(self, key: str) -> None:
+        """Record that the endpoint handles an object.
+
+        :param key: the object.
+        """
+        self.objects[key] = None
+        self.objects.move_to_end(key)
+        if len(self.objects) > WARM_OBJECTS:
+            self.objects.popitem(last=False)
+
+    def estimate(self, known: bool) -> float:
+        """Estimate a service time.
+
+        :param known: whether the endpoint knows the object.
+        :returns: seconds.
+        """
+        first, second = self.known_s, self.new_s
+        if not known:
+            first, second = second, first
+        return first or second or FIRST_SERVICE_S
+
+    def record(self, known: bool, took_s: float) -> None:
+        """Record a service time.
+
+        :param known: whether the endpoint knew the object.
+        :param took_s: seconds.
+        """
+        if known:
+            self.known_s = _blend(self.known_s, took_s)
+        else:
+            self.new_s = _blend(self.new_s, took_s)
+
+
+def _blend(mean_s: float, sample_s: float) -> float:
+    if not mean_s:
+        return sample_s
+    return mean_s + SERVICE_WEIGHT * (sample_s - mean_s)
+
+
+class EndpointQueue:
+    """The slots of one endpoint and the jobs that wait for them.
+
+    All methods take the time as an argument and do no I/O.
+
+    :param slots: requests that the endpoint runs at once.
+    """
+
+    def __init__(self, slots: int):
+        self.slots = slots
+        self.running: set[Job] = set()
+        self.waiting: list[Job] = []
+        self.times = ServiceTimes()
+        self.cold: ColdLimit | None = None
+
+    @property
+    def load(self) -> int:
+        """Number of jobs that run or wait."""
+        return len(self.running) + len(self.waiting)
+
+    def offer(self, job: Job, now_s: float) -> Refusal | None:
+        """Queue a job unless it would be answered too late.
+
+        :param job: the job.
+        :param now_s: the time.
+        :returns: None if it is queued.
+        """
+        job.arrived_s = now_s
+        job.known_object = self.times.knows(job.key)
+        job.service_s = self.times.estimate(job.known_object)
+        finish_s = self._simulate(job, now_s, False)
+        if finish_s <= job.objective_s:
+            self.waiting.append(job)
+            return None
+        if not job.may_be_late:
+            return Refusal(finish_s - now_s)
+        job.late = True
+        finish_s = self._simulate(job, now_s, True)
+        if finish_s - now_s > LATE_PART * (job.limit_s - now_s):
+            return Refusal(finish_s - now_s)
+        self.waiting.append(job)
+        return None
+
+    def _simulate(self, job: Job, now_s: float, late: bool) -> float:
+        """Work out when a job would end if it were queued now."""
+        ends = [
+            max(now_s, other.started_s + other.service_s)
+            for other in self.running
+        ]
+        ends += [now_s] * (self.slots - len(ends))
+        heapq.heapify(ends)
+        ready_s = now_s
+        if self.cold is not None:
+            ready_s = max(now_s, self.cold.next_s)
+        for other in self.waiting:
+            ahead = not other.late and other.rank <= job.rank
+            if late or ahead:
+                start_s = max(ready_s, heapq.heappop(ends))
+                heapq.heappush(ends, start_s + other.service_s)
+                if self.cold is not None:
+                    ready_s += self.cold.spacing_s
+        return max(ready_s, heapq.heappop(ends)) + job.service_s
+
+    def take(self, now_s: float) -> Job | None:
+        """Take the next job that may start.
+
+        :param now_s: the time.
+        :returns: the job, which holds a slot from now on, or None.
+        """
+        if len(self.running) >= self.slots or not self.waiting:
+            return None
+        if self.cold is not None and not self.cold.is_free(now_s):
+            return None
+        for job in self.waiting:
+            if now_s + job.service_s > job.objective_s:
+                job.late = True
+        job = min(self.waiting, key=_order)
+        self.waiting.remove(job)
+        self.running.add(job)
+        job.started_s = now_s
+        if self.cold is not None:
+            self.cold.record_send(now_s)
+        if job.key:
+            self.times.remember(job.key)
+        return job
+
+    def drop_hopeless(self, now_s: float) -> list[Job]:
+        """Take out the jobs that can no longer end in time.
+
+        :param now_s: the time.
+        :returns: the jobs.
+        """
+        hopeless = [
+            job for job in self.waiting if not self._may_end(job, now_s)
+        ]
+        for job in hopeless:
+            self.waiting.remove(job)
+        return hopeless
+
+    @staticmethod
+    def _may_end(job: Job, now_s: float) -> bool:
+        return now_s + job.service_s <= job.limit_s
+
+    def withdraw(self, job: Job) -> bool:
+        """Take a waiting job out of the queue.
+
+        :param job: the job.
+        :returns: whether it was waiting.
+        """
+        if job in self.waiting:
+            self.waiting.remove(job)
+            return True
+        return False
+
+    def release(self, job: Job, now_s: float, served: bool) -> None:
+        """Give back the slot of a job.
+
+        :param job: the job.
+        :param now_s: the time.
+        :param served: whether its service time is a valid sample.
+        """
+        self.running.discard(job)
+        if served:
+            self.times.record(job.known_object, now_s - job.started_s)
+
+    def find_next_event(self, now_s: float) -> float | None:
+        """Find when a waiting job may start without an event.
+
+        :param now_s: the time.
+        :returns: the time, or None if none is due.
+        """
+        if not self.waiting or self.cold is None:
+            return None
+        if len(self.running) >= self.slots:
+            return None
+        return max(now_s, self.cold.next_s)
+
+
+def _order(job: Job) -> tuple[bool, int, float]:
+    return (job.late, job.rank, job.arrived_s)
--- /dev/null
+++ b/carawayvale/steering/routing.py
@@ -0,0 +1,60 @@
+"""Finds the route of a request and its part of a split."""
+
+from collections.abc import Iterable
+
+from carawayvale.catalogue.records import Part
+from carawayvale.catalogue.records import Route
+from carawayvale.contracts.hashing import hash_text
+
+HASH_RANGE = float(1 << 64)
+
+
+class RouteTable:
+    """The routes of one configuration, by host.
+
+    :param routes: all routes.
+
+    >>> RouteTable(()).find("example", "/") is None
+    True
+    """
+
+    def __init__(self, routes: Iterable[Route]):
+        self.hosts: dict[str, list[Route]] = {}
+        for route in routes:
+            self.hosts.setdefault(route.host, []).append(route)
+        for listed in self.hosts.values():
+            listed.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Find the route with the longest prefix that begins a path.
+
+        :param host: value of the Host header, with or without a port.
+        :param path: path without the query.
+        :returns: the route, or None.
+        """
+        name = host.partition(":")[0].lower()
+        for route in self.hosts.get(name, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def choose_part(route: Route, request_id: str) -> Part:
+    """Choose the service of a request by the weights of a split.
+
+    The choice depends on the request's id only, so all instances and all
+    attempts agree, and the shares are exact on average.
+
+    :param route: the route.
+    :param request_id: id of the request.
+    :returns: the part.
+    """
+    if len(route.parts) == 1:
+        return route.parts[0]
+    total = sum(part.weight for part in route.parts)
+    point = hash_text(f"split|{request_id}") / HASH_RANGE * total
+    for part in route.parts:
+        point -= part.weight
+        if point < 0:
+            return part
+    return route.parts[-1]
