Test decoding, catalogue and decisions; bound late requests by recent starts

Now late requests that wait are bounded by how many started lately, and a request that would miss its objective is given back at once.

--- a/carawayvale/gateway/small_ports.py
+++ b/carawayvale/gateway/small_ports.py
@@ -9,7 +9,7 @@
 from carawayvale.platform.lookups import RESOLVE_PATH
 
 MAX_ADDRESSES = 64
-TTL_S = 1.0
+TTL_S = 2.0
 JSON_TYPE = (b"content-type", b"application/json")
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
--- /dev/null
+++ b/carawayvale/platform/tests/test_decoding.py
@@ -0,0 +1,184 @@
+"""Tests of what is read from the platform."""
+
+import copy
+
+import pytest
+
+from carawayvale.catalogue.records import EndpointState
+from carawayvale.contracts.address import Address
+from carawayvale.contracts.findings import InvalidInput
+from carawayvale.platform.configuration import decode_configuration
+from carawayvale.platform.entries import decode_endpoint
+from carawayvale.platform.lookups import decode_lookup
+from carawayvale.platform.lookups import encode_addresses
+from carawayvale.platform.settings import decode_settings
+from carawayvale.platform.settings import load_settings
+from carawayvale.platform.source import encode_instance
+from carawayvale.platform.source import PlatformSource
+from carawayvale.platform.store_client import decode_item
+from carawayvale.platform.store_client import StoreFailed
+from carawayvale.platform.tests.examples import CONFIGURATION
+from carawayvale.platform.tests.examples import ENTRY
+from carawayvale.platform.tests.examples import make_item
+from carawayvale.platform.tests.examples import REGIONS
+from carawayvale.platform.tests.examples import SETTINGS
+from carawayvale.platform.units import parse_duration
+
+
+class TestDurations:
+    @pytest.mark.parametrize(
+        "text,seconds", [("0ms", 0.0), ("1500ms", 1.5), ("2.5s", 2.5)]
+    )
+    def test_reads_both_units(self, text, seconds):
+        assert parse_duration(text) == seconds
+
+    @pytest.mark.parametrize("value", ["", "5", "5m", "-1s", 5, None, "1 s"])
+    def test_refuses_anything_else(self, value):
+        with pytest.raises(ValueError):
+            parse_duration(value)
+
+
+class TestEndpointEntries:
+    def test_decodes_every_field_into_the_projects_words(self):
+        endpoint = decode_endpoint(make_item("servers/i-1", ENTRY), REGIONS)
+        assert endpoint.name == "i-1"
+        assert endpoint.address == Address("10.128.0.9", 8080)
+        assert (endpoint.domain, endpoint.region) == ("zrh-a", "zurich")
+        assert endpoint.state is EndpointState.READY
+        assert endpoint.cold_s == 1.5
+        assert (endpoint.started_ms, endpoint.sequence) == (1700000000000, 4)
+
+    @pytest.mark.parametrize(
+        "path,value",
+        [
+            (("address",), None),
+            (("address",), "10.0.0.1"),
+            (("born",), "yesterday"),
+            (("born",), 1.5),
+            (("info", "zone"), "elsewhere"),
+            (("info", "slots"), 0),
+            (("info", "slots"), "5"),
+            (("info", "slots"), True),
+            (("info", "service"), 7),
+            (("status", "state"), "leaving"),
+            (("status", "seq"), None),
+            (("status", "cold_left"), 3),
+            (("status",), []),
+        ],
+    )
+    def test_refuses_an_entry_of_another_writer(self, path, value):
+        table = copy.deepcopy(ENTRY)
+        part = table
+        for name in path[:-1]:
+            part = part[name]
+        part[path[-1]] = value
+        with pytest.raises(ValueError):
+            decode_endpoint(make_item("servers/i-1", table), REGIONS)
+
+    @pytest.mark.parametrize("value", [b"", b"{", b"[]", b"\xff", b"null"])
+    def test_refuses_bytes_that_are_no_entry(self, value):
+        with pytest.raises(ValueError):
+            decode_endpoint(make_item("servers/i-1", value), REGIONS)
+
+
+class TestConfigurations:
+    def test_decodes_routes_services_and_limits(self):
+        found = decode_configuration(make_item("op/config", CONFIGURATION))
+        submit, fetch = found.routes
+        assert (submit.host, submit.prefix) == ("jepu9.example", "/puka/")
+        assert not submit.idempotent and fetch.idempotent
+        assert submit.homes == {"zurich"} and not fetch.homes
+        assert [p.service for p in submit.parts] == ["desk"]
+        assert [p.weight for p in fetch.parts] == [90, 10]
+        assert fetch.timeout_s == 1.2 and fetch.objective_s == 0.2
+        assert found.services["grids"].cold_rate == 12.0
+        assert found.limits.idle_timeout_s == 15.0
+
+    def test_reports_all_findings_with_their_places(self):
+        table = copy.deepcopy(CONFIGURATION)
+        table["routes"]["rows"][0][4] = "soon"
+        table["routes"]["rows"][1][2] = "no-slash"
+        table["services"]["rows"][1][3] = 3
+        with pytest.raises(InvalidInput) as caught:
+            decode_configuration(make_item("op/config", table))
+        places = {f.place.section for f in caught.value.findings}
+        assert {"routes:submit", "routes:fetch", "services:desk"} <= places
+
+    def test_refuses_a_route_to_an_unknown_service(self):
+        table = copy.deepcopy(CONFIGURATION)
+        table["routes"]["rows"][0][7] = "nowhere"
+        with pytest.raises(InvalidInput, match="nowhere"):
+            decode_configuration(make_item("op/config", table))
+
+    def test_an_unknown_kind_of_route_may_run_only_once(self):
+        table = copy.deepcopy(CONFIGURATION)
+        table["routes"]["rows"][1][3] = "sometimes"
+        found = decode_configuration(make_item("op/config", table))
+        assert not found.routes[1].idempotent
+
+    @pytest.mark.parametrize("value", [b"", b"[1]", b'{"version": 1}'])
+    def test_refuses_what_is_no_configuration(self, value):
+        with pytest.raises(InvalidInput):
+            decode_configuration(make_item("op/config", value))
+
+
+class TestSettings:
+    def test_decodes_every_field(self):
+        settings = decode_settings(SETTINGS, "settings.json")
+        assert settings.name == "front-zrh-a-1"
+        assert settings.domain == "zrh-a"
+        assert settings.internal == Address("10.1.0.15", 7620)
+        assert settings.store == Address("10.200.1.7", 8642)
+        assert settings.bounds.drain_s == 2.5
+        assert settings.bounds.retry_extra == 120
+        assert len(settings.seeds) == 2
+
+    def test_bounds_may_stand_on_one_line(self):
+        table = {**SETTINGS, "bounds": "drain=1s, grace=9s"}
+        bounds = decode_settings(table, "settings.json").bounds
+        assert (bounds.drain_s, bounds.grace_s) == (1.0, 9.0)
+
+    def test_reports_all_findings(self):
+        table = {**SETTINGS, "zone": None, "listen": {}, "internal_ports": []}
+        with pytest.raises(InvalidInput) as caught:
+            decode_settings(table, "settings.json")
+        keys = {f.place.key for f in caught.value.findings}
+        assert {"domain", "callers", "lookups", "internal"} <= keys
+
+    def test_names_a_file_that_cannot_be_read(self, tmp_path):
+        path = tmp_path / "settings.json"
+        path.write_text("{")
+        with pytest.raises(InvalidInput, match="settings.json"):
+            load_settings(str(path))
+
+
+class TestItems:
+    def test_broken_base64_becomes_an_unreadable_value(self):
+        item = decode_item({"key": "servers/i-1", "rev": 3, "value": "%%"})
+        assert item.value == b""
+
+    def test_a_deletion_has_no_value(self):
+        row = {"key": "a", "rev": 4, "tombstone": True}
+        assert decode_item(row).value is None
+
+    def test_refuses_an_item_without_a_key(self):
+        with pytest.raises(StoreFailed):
+            decode_item({"rev": 3, "value": ""})
+
+    def test_source_tells_items_by_their_keys(self):
+        source = PlatformSource(REGIONS)
+        assert source.decode(make_item("elsewhere", b"")) is None
+        reading = source.decode(make_item("op/evacuate/zrh-a", {}))
+        assert (reading.domain, reading.wanted) == ("zrh-a", True)
+        peers = Address("10.0.0.1", 5)
+        own = make_item("carawayvale/instances/e1", encode_instance(peers))
+        assert source.decode(own).peers == peers
+
+
+class TestLookups:
+    def test_reads_a_question_and_writes_the_answer(self):
+        lookup = decode_lookup("name=Hulo.example&region=zurich&zone=zrh-a")
+        assert lookup.host == "hulo.example"
+        assert (lookup.region, lookup.domain) == ("zurich", "zrh-a")
+        body = encode_addresses([Address("10.0.0.1", 5)], 2.0)
+        assert body == b'{"addresses": ["10.0.0.1:5"], "ttl": "2s"}'
--- a/carawayvale/steering/admission.py
+++ b/carawayvale/steering/admission.py
@@ -12,6 +12,7 @@
 import heapq
 
 from carawayvale.steering.rates import ColdLimit
+from carawayvale.steering.rates import WindowCounter
 
 FIRST_SERVICE_S = 0.1
 SERVICE_WEIGHT = 0.2
@@ -21,6 +22,10 @@
 # it is admitted only if it would end in this part of the time it has.
 LATE_PART = 0.6
 
+# Late requests that wait are bounded by how many started lately: under
+# a lasting overload no slot is left for them.
+LATE_WINDOW_S = 2.0
+
 
 @dataclass(eq=False)
 class Job:
@@ -124,6 +129,7 @@
         self.waiting: list[Job] = []
         self.times = ServiceTimes()
         self.cold: ColdLimit | None = None
+        self.late_starts = WindowCounter(LATE_WINDOW_S)
 
     @property
     def load(self) -> int:
@@ -150,9 +156,20 @@
         finish_s = self._simulate(job, now_s, True)
         if finish_s - now_s > LATE_PART * (job.limit_s - now_s):
             return Refusal(finish_s - now_s)
+        if not self._has_late_room(job, now_s):
+            return Refusal(finish_s - now_s)
         self.waiting.append(job)
         return None
 
+    def _has_late_room(self, job: Job, now_s: float) -> bool:
+        """Tell whether late requests start often enough for one more."""
+        if self.load < self.slots:
+            return True
+        waiting = sum(other.late for other in self.waiting)
+        rate = self.late_starts.count(now_s) / LATE_WINDOW_S
+        wait_s = LATE_PART * (job.limit_s - now_s - job.service_s)
+        return waiting <= rate * wait_s
+
     def _simulate(self, job: Job, now_s: float, late: bool) -> float:
         """Work out when a job would end if it were queued now."""
         ends = [
@@ -190,6 +207,8 @@
         self.waiting.remove(job)
         self.running.add(job)
         job.started_s = now_s
+        if job.late:
+            self.late_starts.add(now_s)
         if self.cold is not None:
             self.cold.record_send(now_s)
         if job.key:
@@ -197,7 +216,11 @@
         return job
 
     def drop_hopeless(self, now_s: float) -> list[Job]:
-        """Take out the jobs that can no longer end in time.
+        """Take out the jobs that can no longer end when they should.
+
+        That is the limit for a job that may be late; any other is given
+        back as soon as it would miss its objective, so that it can be
+        tried elsewhere.
 
         :param now_s: the time.
         :returns: the jobs.
@@ -211,7 +234,8 @@
 
     @staticmethod
     def _may_end(job: Job, now_s: float) -> bool:
-        return now_s + job.service_s <= job.limit_s
+        due_s = job.limit_s if job.may_be_late else job.objective_s
+        return now_s + job.service_s <= due_s
 
     def withdraw(self, job: Job) -> bool:
         """Take a waiting job out of the queue.
--- /dev/null
+++ b/carawayvale/steering/tests/test_decisions.py
@@ -0,0 +1,189 @@
+"""Tests of routing, placing, rates and health."""
+
+import random
+
+import pytest
+
+from carawayvale.catalogue.records import Endpoint
+from carawayvale.catalogue.records import Part
+from carawayvale.catalogue.records import Route
+from carawayvale.contracts.address import Address
+from carawayvale.steering.health import EndpointHealth
+from carawayvale.steering.health import Evidence
+from carawayvale.steering.health import FAILURES_TO_EJECT
+from carawayvale.steering.placing import order_endpoints
+from carawayvale.steering.rates import ColdLimit
+from carawayvale.steering.rates import FleetRetryBudget
+from carawayvale.steering.rates import SHIFT_WINDOW_S
+from carawayvale.steering.rates import ShiftLimit
+from carawayvale.steering.routing import choose_part
+from carawayvale.steering.routing import RouteTable
+
+
+def make_route(name, prefix, *parts):
+    return Route(name, "a.example", prefix, True, 1.0, 0.2, 0, 2, parts)
+
+
+def make_endpoints(count, region="zurich"):
+    return [
+        Endpoint(
+            f"{region}-{n}",
+            Address("10.0.0.1", n),
+            "grids",
+            region,
+            f"{region}-a",
+            4,
+        )
+        for n in range(count)
+    ]
+
+
+class TestRouteTable:
+    ROUTES = (make_route("all", "/"), make_route("deep", "/a/b/"))
+
+    @pytest.mark.parametrize(
+        "host,path,name",
+        [
+            ("a.example", "/a/b/c", "deep"),
+            ("A.Example:8080", "/a/b/c", "deep"),
+            ("a.example", "/a/b", "all"),
+            ("a.example", "/x", "all"),
+        ],
+    )
+    def test_the_longest_prefix_wins(self, host, path, name):
+        assert RouteTable(self.ROUTES).find(host, path).name == name
+
+    def test_an_unknown_host_has_no_route(self):
+        assert RouteTable(self.ROUTES).find("b.example", "/") is None
+
+
+class TestSplit:
+    def test_shares_follow_the_weights(self):
+        route = make_route("r", "/", Part("a", 90), Part("b", 10))
+        chosen = [choose_part(route, str(n)).service for n in range(5000)]
+        assert 0.08 < chosen.count("b") / len(chosen) < 0.12
+
+    def test_a_part_without_weight_gets_nothing(self):
+        route = make_route("r", "/", Part("a", 0), Part("b", 1))
+        chosen = {choose_part(route, str(n)).service for n in range(500)}
+        assert chosen == {"b"}
+
+
+class TestPlacing:
+    def test_own_region_comes_first(self):
+        endpoints = make_endpoints(3, "geneva") + make_endpoints(3)
+        ordered = order_endpoints(endpoints, "k", "zurich")
+        assert [e.region for e in ordered[:3]] == ["zurich"] * 3
+
+    def test_losing_an_endpoint_moves_only_its_objects(self):
+        endpoints = make_endpoints(6)
+        for key in map(str, range(200)):
+            before = order_endpoints(endpoints, key, "zurich")[0]
+            after = order_endpoints(endpoints[1:], key, "zurich")[0]
+            assert before in (endpoints[0], after)
+
+    def test_objects_spread_over_the_endpoints(self):
+        endpoints = make_endpoints(4)
+        first = [
+            order_endpoints(endpoints, str(n), "zurich")[0].name
+            for n in range(2000)
+        ]
+        for endpoint in endpoints:
+            assert 400 < first.count(endpoint.name) < 600
+
+
+class TestColdLimit:
+    @pytest.mark.parametrize("rate", [2.0, 12.0, 40.0])
+    def test_two_owners_stay_within_the_allowed_excess(self, rate):
+        sent = []
+        for limit in (ColdLimit(rate, 0.0), ColdLimit(rate, 0.0)):
+            for step in range(5000):
+                now_s = step / 1000
+                if limit.is_free(now_s):
+                    limit.record_send(now_s)
+                    sent.append(now_s)
+        for start_s in sent:
+            seen = [t for t in sent if start_s <= t < start_s + 1.0]
+            assert len(seen) <= rate * 1.5 + 5
+
+    def test_a_new_owner_waits_for_what_the_old_one_sent(self):
+        assert not ColdLimit(12.0, 5.0).is_free(5.0)
+
+
+class TestFleetRetryBudget:
+    def test_the_sum_over_instances_stays_within_the_budget(self):
+        spent = 0
+        for _ in range(20):
+            budget = FleetRetryBudget(0.2, 120, 10.0)
+            for n in range(100):
+                budget.record_request(n / 10)
+                spent += budget.spend(n / 10, 20)
+        allowed = 0.2 * 2000 + 120
+        assert 0.7 * allowed < spent <= allowed
+
+    def test_requests_of_an_earlier_window_pay_for_nothing(self):
+        budget = FleetRetryBudget(0.2, 0, 10.0)
+        for _ in range(100):
+            budget.record_request(0.0)
+        assert budget.spend(1.0, 20)
+        assert not budget.spend(11.0, 20)
+
+
+class TestShiftLimit:
+    """Answers the load of a flood that begins and ends at once."""
+
+    def play(self, wanted):
+        """Play 100 requests a second; wanted tells the part elsewhere."""
+        limit = ShiftLimit(0.15)
+        rng = random.Random(3)
+        sent = []
+        for step in range(2000):
+            now_s = step / 100
+            remote = rng.random() < wanted(now_s)
+            if remote and not limit.allows(now_s):
+                remote = False
+            elif not remote and limit.demands(now_s):
+                remote = True
+            limit.record(remote, now_s)
+            sent.append((now_s, remote))
+        return sent
+
+    def test_the_part_elsewhere_changes_step_by_step(self):
+        sent = self.play(lambda now_s: 0.5 if 4 <= now_s < 12 else 0.0)
+        parts = []
+        for start in range(0, 180, 5):
+            start_s = start / 10
+            window = [
+                r for t, r in sent if start_s <= t < start_s + SHIFT_WINDOW_S
+            ]
+            parts.append(sum(window) / len(window))
+        steps = [
+            abs(b - a) for a, b in zip(parts, parts[4:], strict=False)
+        ]
+        assert max(steps) <= 0.15
+        assert max(parts) > 0.3
+
+
+class TestEndpointHealth:
+    def test_an_unreachable_endpoint_is_ejected_at_once(self):
+        health = EndpointHealth()
+        health.record(Evidence.UNREACHABLE, 1.0)
+        assert not health.is_usable
+        assert not health.needs_check(1.0)
+        assert health.needs_check(2.0)
+
+    def test_single_broken_answers_do_not_eject(self):
+        health = EndpointHealth()
+        for _ in range(3 * FAILURES_TO_EJECT):
+            health.record(Evidence.BROKEN, 1.0)
+            health.record(Evidence.ANSWERED, 1.0)
+        assert health.is_usable
+
+    def test_ejections_grow_while_checks_fail(self):
+        health = EndpointHealth()
+        health.record(Evidence.UNREACHABLE, 0.0)
+        first_s = health.check_s
+        health.record_check(False, first_s)
+        assert health.check_s - first_s > first_s
+        health.record_check(True, health.check_s)
+        assert health.is_usable
