--- /dev/null
+++ b/carawayvale/platform/tests/standins.py
@@ -0,0 +1,187 @@
+"""A store and endpoints that speak the platform's protocol, for tests."""
+
+import base64
+from dataclasses import dataclass
+from dataclasses import field
+import json
+from urllib.parse import parse_qs
+
+import curio
+
+from carawayvale.contracts.address import Address
+from carawayvale.gateway.http_port import Answer
+from carawayvale.gateway.http_port import PortRules
+from carawayvale.gateway.http_port import Request
+from carawayvale.links.listener import Listener
+from carawayvale.links.listener import open_listener
+
+LOOPBACK = "127.0.0.1"
+POLL_S = 0.01
+
+
+def open_port(handle) -> Listener:
+    """Open a port on the loopback address.
+
+    :param handle: answers one request.
+    :returns: its listener.
+    """
+    sock = open_listener(Address(LOOPBACK, 0))
+    return Listener(sock, PortRules(handle).serve)
+
+
+@dataclass
+class FakeStore:
+    """The store's calls over items in memory."""
+
+    items: dict[str, dict] = field(default_factory=dict)
+    log: list[dict] = field(default_factory=list)
+    revision: int = 10
+    oldest: int = 0
+    leases: int = 0
+    calls: list[str] = field(default_factory=list)
+    status: int = 200
+    silent: bool = False
+
+    def put(self, key, value, lease=0):
+        """Write an item as another writer would."""
+        if not isinstance(value, bytes):
+            value = json.dumps(value).encode()
+        self.revision += 1
+        row = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "rev": self.revision,
+            "created_at": self.revision,
+            "lease": lease,
+        }
+        self.items[key] = row
+        self.log.append(row)
+
+    def remove(self, key):
+        """Delete an item."""
+        self.revision += 1
+        del self.items[key]
+        row = {"key": key, "rev": self.revision, "tombstone": True}
+        self.log.append(row)
+
+    def forget_history(self):
+        """Drop all history."""
+        self.log.clear()
+        self.oldest = self.revision
+
+    async def handle(self, request: Request) -> Answer:
+        """Answer one call."""
+        self.calls.append(f"{request.method} {request.path}")
+        while self.silent:
+            await curio.sleep(POLL_S)
+        if self.status != 200:
+            return Answer(self.status)
+        query = {k: v[-1] for k, v in parse_qs(request.query).items()}
+        name = request.path.split("/")[1]
+        return await CALLS[name](self, query, request)
+
+    async def _range(self, query, request):
+        keys = sorted(
+            key
+            for key in self.items
+            if key.startswith(query.get("prefix", ""))
+            and key > query.get("after", "")
+        )
+        page = keys[:50]
+        return self._reply(
+            items=[self.items[key] for key in page],
+            has_more=len(keys) > len(page),
+        )
+
+    async def _watch(self, query, request):
+        after = int(query["after"])
+        waited_s = 0.0
+        while waited_s < int(query["wait_ms"]) / 1000:
+            if after < self.oldest:
+                return Answer(410)
+            events = [row for row in self.log if row["rev"] > after]
+            if events:
+                return self._reply(events=events)
+            await curio.sleep(POLL_S)
+            waited_s += POLL_S
+        return self._reply(events=[])
+
+    async def _lease(self, query, request):
+        self.leases += 1
+        return self._reply(lease=self.leases, ttl_time="15000ms")
+
+    async def _keep(self, query, request):
+        if int(request.path.rpartition("/")[2]) > self.leases:
+            return Answer(404)
+        return self._reply(ttl_time="15000ms")
+
+    async def _txn(self, query, request):
+        body = json.loads(request.body)
+        for row in body["expected"]:
+            known = self.items.get(row["key"])
+            if (known["rev"] if known else 0) != row["rev"]:
+                return Answer(412, body=b'{"items":[]}')
+        for row in body["writes"]:
+            value = base64.b64decode(row["value"])
+            self.put(row["key"], value, row["lease"])
+        return self._reply(rev=self.revision)
+
+    def _reply(self, **fields):
+        fields["store_revision"] = self.revision
+        return Answer(200, body=json.dumps(fields).encode())
+
+
+CALLS = {
+    "kv-range": FakeStore._range,
+    "kv-watch": FakeStore._watch,
+    "kv-lease": FakeStore._lease,
+    "kv-keep": FakeStore._keep,
+    "kv-txn": FakeStore._txn,
+}
+
+
+@dataclass
+class FakeEndpoint:
+    """An endpoint that signs its answers.
+
+    :param name: its id.
+    """
+
+    name: str
+    runs: list[Request] = field(default_factory=list)
+    work_s: float = 0.0
+    shed: int = 0
+    fail: int = 0
+    cancelled: int = 0
+    cold_ms: int = 0
+
+    async def handle(self, request: Request) -> Answer:
+        """Run one request."""
+        expected = request.find_text(b"x-expect-instance")
+        if expected not in ("", self.name):
+            return Answer(421, ((b"x-instance-id", b"another"),))
+        if request.path == "/health":
+            headers = (
+                (b"x-instance-id", self.name.encode()),
+                (b"x-cold-ms", b"%d" % self.cold_ms),
+            )
+            return Answer(200, headers)
+        if self.shed:
+            self.shed -= 1
+            return Answer(503, ((b"x-not-executed", b"1"),))
+        self.runs.append(request)
+        try:
+            await curio.sleep(self.work_s)
+        except curio.CancelledError:
+            self.cancelled += 1
+            raise
+        status = 200
+        if self.fail:
+            self.fail -= 1
+            status = 500
+        request_id = request.find(b"x-request-id") or b""
+        headers = (
+            (b"x-request-id", request_id),
+            (b"x-server-stamp", b"sig-" + self.name.encode()),
+        )
+        return Answer(status, headers, b"done by " + self.name.encode())
