Ask no owner again that had no room just now; notice silent peers

Change: an owner that had no room is not asked again for 50 ms, 150 ms in another region; overdue requests are aborted only if the endpoint cannot be reached; TCP keep-alive and user timeout find silent peers; idempotent requests at an owner that the member list suspects are tried elsewhere.

--- a/carawayvale/catalogue/keeper.py
+++ b/carawayvale/catalogue/keeper.py
@@ -169,14 +169,12 @@
         log_event("endpoint_gone", endpoint=name)
 
     def _take_evacuation(self, reading: EvacuationRead, now_s: float) -> None:
-        change = self.evacuated.add if reading.wanted else (
-            self.evacuated.discard
+        change = (
+            self.evacuated.add if reading.wanted else (self.evacuated.discard)
         )
         change(reading.domain)
         self.changed = True
-        log_event(
-            "evacuation", domain=reading.domain, wanted=reading.wanted
-        )
+        log_event("evacuation", domain=reading.domain, wanted=reading.wanted)
 
     def _take_instance(self, reading: InstanceRead, now_s: float) -> None:
         if reading.peers is None:
--- a/carawayvale/catalogue/tests/test_keeper.py
+++ b/carawayvale/catalogue/tests/test_keeper.py
@@ -79,7 +79,10 @@
 
     @given(
         strategies.permutations(
-            [StoredItem("a", n, None if n % 3 == 0 else b"v") for n in range(9)]
+            [
+                StoredItem("a", n, None if n % 3 == 0 else b"v")
+                for n in range(9)
+            ]
         )
     )
     def test_order_of_arrival_does_not_matter(self, items):
--- a/carawayvale/commands/demo.py
+++ b/carawayvale/commands/demo.py
@@ -12,9 +12,9 @@
 import curio
 
 from carawayvale.commands.exits import ExitStatus
+from carawayvale.contracts.address import Address
 from carawayvale.contracts.document import Document
 from carawayvale.contracts.document import load_document
-from carawayvale.contracts.address import Address
 from carawayvale.contracts.settings import BackendSettings
 from carawayvale.contracts.settings import EntrySettings
 from carawayvale.documents.editor import Edit
--- a/carawayvale/contracts/__init__.py
+++ b/carawayvale/contracts/__init__.py
@@ -1,5 +1,6 @@
 """What operators, callers and instances agree on: document, ranks, tickets."""
 
+from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import Clock
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.contracts.document import check_document
@@ -11,7 +12,6 @@
 from carawayvale.contracts.document import RawSection
 from carawayvale.contracts.document import Section
 from carawayvale.contracts.document import split_sections
-from carawayvale.contracts.address import Address
 from carawayvale.contracts.fields import declare
 from carawayvale.contracts.fields import number
 from carawayvale.contracts.fields import parse_address
--- a/carawayvale/contracts/fields.py
+++ b/carawayvale/contracts/fields.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
-from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import fields
 from dataclasses import MISSING
--- a/carawayvale/documents/memory.py
+++ b/carawayvale/documents/memory.py
@@ -2,8 +2,8 @@
 
 import curio
 
-from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.contracts.address import Address
+from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.documents.cells import Cells
 from carawayvale.documents.store import ListedInstance
 from carawayvale.documents.store import register_store
--- a/carawayvale/gateway/caller_port.py
+++ b/carawayvale/gateway/caller_port.py
@@ -178,6 +178,8 @@
             if now_s >= order.limit_s:
                 flight.over = True
                 return None
+            if not order.may_be_late and node.is_known_full(endpoint, now_s):
+                continue
             away = endpoint.region != node.settings.region
             if away and not node.shift.allows(now_s):
                 continue
@@ -188,6 +190,7 @@
                 continue
             if result.outcome is Outcome.FULL:
                 flight.full[endpoint.name] = result.finish_s
+                node.note_full(endpoint)
                 continue
             if result.outcome in (Outcome.UNUSABLE, Outcome.UNSENT):
                 continue
@@ -274,9 +277,7 @@
         finish_s = min(flight.full.values(), default=MIN_RETRY_S)
         return self._refuse(flight.request, finish_s, "full")
 
-    def _refuse(
-        self, request: Request, retry_s: float, reason: str
-    ) -> Answer:
+    def _refuse(self, request: Request, retry_s: float, reason: str) -> Answer:
         """Refuse a request that has not run."""
         retry_s = min(MAX_RETRY_S, max(MIN_RETRY_S, retry_s))
         log_event(
--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -154,6 +154,7 @@
 
     async def _on_members(self) -> None:
         self.node.assign()
+        self.node.abort_forwards()
 
     async def _on_document(self) -> None:
         """There is no document of the product's own on the platform."""
--- a/carawayvale/gateway/feed.py
+++ b/carawayvale/gateway/feed.py
@@ -170,9 +170,7 @@
         await self.news(news, self.fresh_s)
 
     async def _publish(self, since: int, news: list[StoredItem]) -> None:
-        update = FeedUpdate(
-            since, self.mirror.revision, 0.0, pack_items(news)
-        )
+        update = FeedUpdate(since, self.mirror.revision, 0.0, pack_items(news))
         await self.peers.send_region(update, "")
 
     async def _ask_peers(self) -> None:
--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -144,13 +144,18 @@
 
 
 async def forward_order(
-    pool: ConnectionPool, order: Order, endpoint: str
+    pool: ConnectionPool,
+    order: Order,
+    endpoint: str,
+    active: set[HttpClient],
 ) -> Result:
     """Forward a request to the owner of an endpoint.
 
     :param pool: connections to the owner's port.
     :param order: the request.
     :param endpoint: name of the endpoint.
+    :param active: connections to the owner whose requests may be
+        ended if it falls silent.
     :returns: the result; FAILED if the owner broke off.
     :raises OwnerUnreachable: if no connection came about.
     """
@@ -162,6 +167,8 @@
     except ConnectFailed as error:
         raise OwnerUnreachable(str(error)) from None
     done = False
+    if order.idempotent:
+        active.add(client)
     try:
         async with curio.timeout_after(left_s + ANSWER_MARGIN_S):
             result = await _exchange(client, order, endpoint)
@@ -171,6 +178,7 @@
     except (ConnectionBroken, ValueError, KeyError) as error:
         result = Result(Outcome.FAILED, cause=f"owner: {error!r}")
     finally:
+        active.discard(client)
         if not done:
             await client.close()
     if done:
@@ -178,9 +186,7 @@
     return result
 
 
-async def _exchange(
-    client: HttpClient, order: Order, endpoint: str
-) -> Result:
+async def _exchange(client: HttpClient, order: Order, endpoint: str) -> Result:
     headers = encode_order(order, endpoint, read_boot_clock())
     request = order.request
     await client.send_request(
@@ -236,4 +242,6 @@
     address: Address | None = node.find_internal(owner)
     if address is None:
         raise OwnerUnreachable(owner)
-    return await forward_order(node.peer_pools.find(address), order, endpoint)
+    active = node.forwards.setdefault(owner, set())
+    pool = node.peer_pools.find(address)
+    return await forward_order(pool, order, endpoint, active)
--- a/carawayvale/gateway/http_port.py
+++ b/carawayvale/gateway/http_port.py
@@ -6,9 +6,9 @@
 one of those answers closes the connection, the caller sends it again.
 """
 
-from collections import deque
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections import deque
 from dataclasses import dataclass
 
 import curio
@@ -232,9 +232,7 @@
     headers.append((b"content-length", b"%d" % len(answer.body)))
     if answer.close:
         headers.append((b"connection", b"close"))
-    data = http.send(
-        h11.Response(status_code=answer.status, headers=headers)
-    )
+    data = http.send(h11.Response(status_code=answer.status, headers=headers))
     if answer.body and method != "HEAD":
         data += http.send(h11.Data(data=answer.body))
     return data
--- a/carawayvale/gateway/node.py
+++ b/carawayvale/gateway/node.py
@@ -15,6 +15,7 @@
 from carawayvale.gateway.owned import OwnedEndpoint
 from carawayvale.gateway.settings import GatewaySettings
 from carawayvale.links.connections import ConnectionPools
+from carawayvale.links.http_client import HttpClient
 from carawayvale.links.membership import Membership
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links.messages import MemberState
@@ -31,6 +32,11 @@
 # An instance that could not be reached is passed by for this long.
 SHUN_S = 1.0
 
+# An owner that had no room for a request within its objective is not
+# asked again for this long, in the own region and in another one.
+FULL_S = 0.05
+REMOTE_FULL_S = 0.15
+
 
 class GatewayNode:
     """Everything that the tasks of one instance share.
@@ -61,6 +67,8 @@
         self.budgets: dict[str, FleetRetryBudget] = {}
         self.shift = ShiftLimit(settings.bounds.max_shift)
         self.shunned_s: dict[str, float] = {}
+        self.full_until_s: dict[str, float] = {}
+        self.forwards: dict[str, set[HttpClient]] = {}
         self.leaving = False
 
     @property
@@ -183,6 +191,31 @@
         """
         self.shunned_s[name] = read_boot_clock() + SHUN_S
 
+    def note_full(self, endpoint: Endpoint) -> None:
+        """Remember that an endpoint had no room in time.
+
+        :param endpoint: the endpoint.
+        """
+        near = endpoint.region == self.settings.region
+        wait_s = FULL_S if near else REMOTE_FULL_S
+        self.full_until_s[endpoint.name] = read_boot_clock() + wait_s
+
+    def is_known_full(self, endpoint: Endpoint, now_s: float) -> bool:
+        """Tell whether an endpoint had no room in time just now.
+
+        :param endpoint: the endpoint.
+        :param now_s: the time.
+        :returns: whether it need not be asked.
+        """
+        return now_s < self.full_until_s.get(endpoint.name, 0.0)
+
+    def abort_forwards(self) -> None:
+        """End idempotent requests at owners that have fallen silent."""
+        for name, clients in self.forwards.items():
+            if clients and not self.is_heard(name):
+                for client in list(clients):
+                    client.abort()
+
     def find_internal(self, name: str) -> Address | None:
         """Find the port for forwarded requests of an instance.
 
--- a/carawayvale/gateway/owned.py
+++ b/carawayvale/gateway/owned.py
@@ -9,7 +9,6 @@
 from carawayvale.catalogue.records import Service
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.http_port import Request
-from carawayvale.gateway.upstream import CONNECT_TIMEOUT_S
 from carawayvale.gateway.upstream import Outcome
 from carawayvale.gateway.upstream import Result
 from carawayvale.gateway.upstream import Upstream
@@ -79,9 +78,7 @@
     :param fresh: whether requests of another owner may be under way.
     """
 
-    def __init__(
-        self, dialect: Dialect, endpoint: Endpoint, service: Service
-    ):
+    def __init__(self, dialect: Dialect, endpoint: Endpoint, service: Service):
         self.dialect = dialect
         self.endpoint = endpoint
         self.service = service
@@ -298,10 +295,6 @@
             self._abort(list(self.sending))
             return
         await sock.close()
-        now_s = read_boot_clock()
-        overdue = self.list_overdue(now_s)
-        # The endpoint answers others, so these connections are dead.
-        self._abort([j for j in overdue if self.answered_s > j.started_s])
 
     def _abort(self, jobs: list[Job]) -> None:
         for job in jobs:
@@ -312,9 +305,7 @@
     async def _check_healthy(self) -> None:
         name = self.endpoint.name.encode("latin-1")
         host = str(self.endpoint.address).encode()
-        call = OutgoingCall(
-            "GET", self.service.health_path, [(b"host", host)]
-        )
+        call = OutgoingCall("GET", self.service.health_path, [(b"host", host)])
         passed = False
         cold_s = 0.0
         try:
--- a/carawayvale/gateway/upstream.py
+++ b/carawayvale/gateway/upstream.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from socket import SHUT_RDWR
 
 import curio
 
@@ -15,7 +14,6 @@
 from carawayvale.links.http import ConnectionBroken
 from carawayvale.links.http import Headers
 from carawayvale.links.http_client import HttpClient
-from carawayvale.telemetry.logs import log_event
 
 MS_PER_S = 1000.0
 CONNECT_TIMEOUT_S = 0.5
@@ -152,12 +150,8 @@
         :param request: its request; one that may run only once goes on.
         """
         client = self.active.get(id(request))
-        if client is None:
-            return
-        try:
-            client.sock._socket.shutdown(SHUT_RDWR)
-        except OSError as error:
-            log_event("abort_failed", "DEBUG", cause=str(error))
+        if client is not None:
+            client.abort()
 
     async def _exchange(
         self, client: HttpClient, request: Request, left_s: float
@@ -200,6 +194,4 @@
         if head.find(b"content-encoding") is not None:
             return Result(Outcome.FAILED, cause="body is encoded")
         headers = tuple(strip_hop_headers(list(head.headers)))
-        return Result(
-            Outcome.ANSWERED, 0.0, head.status, headers, body
-        )
+        return Result(Outcome.ANSWERED, 0.0, head.status, headers, body)
--- a/carawayvale/links/__init__.py
+++ b/carawayvale/links/__init__.py
@@ -21,9 +21,9 @@
 from carawayvale.links.http import connect
 from carawayvale.links.http import ConnectFailed
 from carawayvale.links.http import ConnectionBroken
-from carawayvale.links.http import disable_nagle
 from carawayvale.links.http import find_header
 from carawayvale.links.http import RequestHead
+from carawayvale.links.http import tune_socket
 from carawayvale.links.http_client import HttpClient
 from carawayvale.links.http_server import HttpServer
 from carawayvale.links.keeper import apply_change
@@ -99,7 +99,6 @@
     "CreditGrant",
     "decode_message",
     "describe_change",
-    "disable_nagle",
     "DocumentKeeper",
     "elect",
     "encode_message",
@@ -159,6 +158,7 @@
     "take_sections",
     "TlsContexts",
     "Traffic",
+    "tune_socket",
     "unpack_message",
     "Updates",
     "Welcome",
--- a/carawayvale/links/connections.py
+++ b/carawayvale/links/connections.py
@@ -6,8 +6,8 @@
 
 import curio
 
-from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.contracts.address import Address
+from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.links.http import AnswerHead
 from carawayvale.links.http import connect
 from carawayvale.links.http import CONNECT_TIMEOUT_S
--- a/carawayvale/links/http.py
+++ b/carawayvale/links/http.py
@@ -15,6 +15,13 @@
 MAX_HEADER_BYTES = 16384
 CONNECT_TIMEOUT_S = 1.0
 
+# A connection whose other end is gone without a word is noticed after
+# about KEEPALIVE_S * (KEEPALIVE_PROBES + 1) when nothing is under way,
+# and after USER_TIMEOUT_MS when data is.
+KEEPALIVE_S = 1
+KEEPALIVE_PROBES = 2
+USER_TIMEOUT_MS = 2500
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -118,7 +125,7 @@
             sock.bind((source, 0))
         async with curio.timeout_after(timeout_s):
             await sock.connect((address.host, address.port))
-            disable_nagle(sock)
+            tune_socket(sock)
             if ssl is not None:
                 sock = Socket(
                     ssl.wrap_socket(
@@ -135,9 +142,15 @@
     return sock
 
 
-def disable_nagle(sock: Socket) -> None:
-    """Send small messages without delay.
+def tune_socket(sock: Socket) -> None:
+    """Send small messages without delay, and notice a silent peer.
 
     :param sock: a TCP socket.
     """
-    sock.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
+    tcp = plain_socket.IPPROTO_TCP
+    sock.setsockopt(tcp, plain_socket.TCP_NODELAY, 1)
+    sock.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, plain_socket.TCP_KEEPIDLE, KEEPALIVE_S)
+    sock.setsockopt(tcp, plain_socket.TCP_KEEPINTVL, KEEPALIVE_S)
+    sock.setsockopt(tcp, plain_socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(tcp, plain_socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- a/carawayvale/links/http_client.py
+++ b/carawayvale/links/http_client.py
@@ -12,6 +12,7 @@
 from carawayvale.links.http import Headers
 from carawayvale.links.http import MAX_HEADER_BYTES
 from carawayvale.links.http import READ_BYTES
+from carawayvale.telemetry.logs import log_event
 
 
 class HttpClient:
@@ -181,6 +182,14 @@
         # An idle connection has nothing to say but that it is closed.
         return True
 
+    def abort(self) -> None:
+        """Let the task that uses the connection find it broken."""
+        try:
+            self.sock._socket.shutdown(plain_socket.SHUT_RDWR)
+        except OSError as error:
+            # The connection ended by itself.
+            log_event("abort_failed", "DEBUG", cause=str(error))
+
     async def close(self) -> None:
         """Close the connection."""
         await self.sock.close()
--- a/carawayvale/links/listener.py
+++ b/carawayvale/links/listener.py
@@ -9,7 +9,7 @@
 from curio import socket
 
 from carawayvale.contracts.address import Address
-from carawayvale.links.http import disable_nagle
+from carawayvale.links.http import tune_socket
 from carawayvale.telemetry.logs import log_event
 
 BACKLOG = 1024
@@ -88,7 +88,7 @@
         task = await curio.current_task()
         self.tasks.add(task)
         try:
-            disable_nagle(client)
+            tune_socket(client)
             async with await self._secure(client) as secured:
                 await self.handle(secured)
         except OSError:
--- a/carawayvale/links/peers.py
+++ b/carawayvale/links/peers.py
@@ -11,8 +11,8 @@
 import curio
 from curio.io import Socket
 
-from carawayvale.contracts.clock import Clock
 from carawayvale.contracts.address import Address
+from carawayvale.contracts.clock import Clock
 from carawayvale.links.http import connect
 from carawayvale.links.http import ConnectFailed
 from carawayvale.links.keeper import DocumentKeeper
--- a/carawayvale/machines/__init__.py
+++ b/carawayvale/machines/__init__.py
@@ -15,11 +15,11 @@
 from carawayvale.machines.dispatcher import Job
 from carawayvale.machines.dispatcher import RankQueue
 from carawayvale.machines.entry import EntryInstance
-from carawayvale.machines.incarnation import make_incarnation
 from carawayvale.machines.entry import settle_memory
 from carawayvale.machines.exchange import Exchange
 from carawayvale.machines.exchange import refuse_claim
 from carawayvale.machines.hedging import Hedge
+from carawayvale.machines.incarnation import make_incarnation
 from carawayvale.machines.node import Node
 from carawayvale.machines.operator_port import begin_drain
 from carawayvale.machines.operator_port import handle_call
--- a/carawayvale/standins/caller.py
+++ b/carawayvale/standins/caller.py
@@ -13,8 +13,8 @@
 import curio
 import xxhash
 
-from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.contracts.address import Address
+from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.contracts.fields import parse_address
 from carawayvale.contracts import headers as names
 from carawayvale.contracts.retries import IDEMPOTENT_METHODS
--- a/carawayvale/steering/tests/test_decisions.py
+++ b/carawayvale/steering/tests/test_decisions.py
@@ -157,9 +157,7 @@
                 r for t, r in sent if start_s <= t < start_s + SHIFT_WINDOW_S
             ]
             parts.append(sum(window) / len(window))
-        steps = [
-            abs(b - a) for a, b in zip(parts, parts[4:], strict=False)
-        ]
+        steps = [abs(b - a) for a, b in zip(parts, parts[4:], strict=False)]
         assert max(steps) <= 0.15
         assert max(parts) > 0.3
 
