--- /dev/null
+++ b/carawayvale/gateway/tests/fleet.py
@@ -0,0 +1,165 @@
+"""A small fleet in one event loop, for tests of whole requests."""
+
+from contextlib import asynccontextmanager
+import copy
+from dataclasses import replace
+
+import curio
+
+from carawayvale.contracts.address import Address
+from carawayvale.gateway.daemon import GatewayDaemon
+from carawayvale.gateway.settings import GatewaySettings
+from carawayvale.links.connections import ConnectionPool
+from carawayvale.links.connections import OutgoingCall
+from carawayvale.platform.headers import DIALECT
+from carawayvale.platform.source import PlatformSource
+from carawayvale.platform.tests.examples import CONFIGURATION
+from carawayvale.platform.tests.examples import ENTRY
+from carawayvale.platform.tests.standins import FakeEndpoint
+from carawayvale.platform.tests.standins import FakeStore
+from carawayvale.platform.tests.standins import open_port
+
+REGIONS = {"zrh-a": "zurich", "gva-a": "geneva"}
+POLL_S = 0.02
+WAIT_S = 20.0
+MAX_BYTES = 1 << 20
+
+
+def find_port() -> Address:
+    """Find a free port on the loopback address."""
+    listener = open_port(None)
+    address = listener.address
+    listener.sock._socket.close()
+    return address
+
+
+def make_settings(name, domain, store, internal) -> GatewaySettings:
+    """Make the settings of one instance.
+
+    Instances share one loopback address, so the port for forwarded
+    requests is one for all; each test instance has its own address of
+    the loopback network.
+    """
+    ports = [find_port() for _ in range(5)]
+    return GatewaySettings(
+        name,
+        REGIONS[domain],
+        domain,
+        REGIONS,
+        *ports[:4],
+        internal=internal,
+        metrics=ports[4],
+        store=store,
+    )
+
+
+class Fleet:
+    """Stand-ins and instances of one test."""
+
+    def __init__(self):
+        self.store = FakeStore()
+        self.endpoints: dict[str, FakeEndpoint] = {}
+        self.daemons: list[GatewayDaemon] = []
+        self.tasks: list[curio.Task] = []
+        self.number = 0
+        self.store_address = None
+
+    async def open_store(self):
+        """Open the store with a configuration."""
+        self.store.put("op/config", CONFIGURATION)
+        listener = open_port(self.store.handle)
+        self.store_address = listener.address
+        self.tasks.append(await curio.spawn(listener.run, daemon=True))
+
+    async def add_endpoint(self, name, service="grids", domain="zrh-a"):
+        """Open an endpoint and enter it in the store."""
+        endpoint = FakeEndpoint(name)
+        listener = open_port(endpoint.handle)
+        self.tasks.append(await curio.spawn(listener.run, daemon=True))
+        self.endpoints[name] = endpoint
+        entry = copy.deepcopy(ENTRY)
+        entry["address"] = str(listener.address)
+        entry["info"]["service"] = service
+        entry["info"]["zone"] = domain
+        entry["status"]["cold_left"] = "0ms"
+        endpoint.entry = entry
+        self.store.put(f"servers/{name}", entry)
+        return endpoint
+
+    def report(self, name, **status):
+        """Write a new report of an endpoint."""
+        entry = self.endpoints[name].entry
+        entry["status"].update(status)
+        entry["status"]["seq"] += 1
+        self.store.put(f"servers/{name}", entry)
+
+    async def add_instance(self, name, domain="zrh-a"):
+        """Start an instance on an address of its own."""
+        self.number += 1
+        host = f"127.0.0.{self.number + 1}"
+        settings = make_settings(name, domain, self.store_address, None)
+        moved = {
+            key: Address(host, getattr(settings, key).port)
+            for key in ("callers", "lookups", "readiness", "peers", "metrics")
+        }
+        if not self.daemons:
+            self.internal_port = find_port().port
+        moved["internal"] = Address(host, self.internal_port)
+        settings = replace(settings, **moved)
+        source = PlatformSource(settings.regions)
+        daemon = GatewayDaemon(settings, DIALECT, source, b"test")
+        self.daemons.append(daemon)
+        self.tasks.append(await curio.spawn(daemon.run, daemon=True))
+        return daemon
+
+    async def wait_until(self, condition):
+        """Wait for a condition, with a wide limit."""
+        async with curio.timeout_after(WAIT_S):
+            while not condition():
+                await curio.sleep(POLL_S)
+
+    async def wait_ready(self):
+        """Wait until all instances serve and know each other."""
+        count = len(self.daemons)
+        await self.wait_until(
+            lambda: all(
+                d.node.is_ready
+                and len(d.node.membership.list_serving()) == count
+                for d in self.daemons
+            )
+        )
+
+    async def call(self, daemon, method="GET", path="/x", **options):
+        """Send one request as a caller does."""
+        self.number += 1
+        headers = [
+            (b"host", options.get("host", b"hulo.example")),
+            (b"x-request-id", b"id-%d" % self.number),
+            (b"x-affinity-key", options.get("key", b"7")),
+            (b"x-deadline-ms", b"%d" % options.get("deadline_ms", 5000)),
+        ]
+        headers += options.get("headers", [])
+        pool = ConnectionPool(daemon.settings.callers)
+        call = OutgoingCall(method, path, headers, options.get("body", b""))
+        try:
+            return await pool.exchange(call, WAIT_S, MAX_BYTES)
+        finally:
+            await pool.close()
+
+
+@asynccontextmanager
+async def open_fleet(instances=1, endpoints=("i-1",)):
+    """Open a fleet with a store, and end all its tasks afterwards."""
+    fleet = Fleet()
+    await fleet.open_store()
+    for name in endpoints:
+        await fleet.add_endpoint(name)
+        await fleet.add_endpoint(f"desk-{name}", "desk")
+    for number in range(instances):
+        await fleet.add_instance(f"e{number + 1}")
+    try:
+        await fleet.wait_ready()
+        yield fleet
+    finally:
+        for task in fleet.tasks:
+            await task.cancel()
--- /dev/null
+++ b/carawayvale/gateway/tests/test_fleet.py
@@ -0,0 +1,266 @@
+"""Tests of whole requests through instances, store and endpoints."""
+
+import curio
+import pytest
+
+from carawayvale.contracts.address import Address
+from carawayvale.gateway.tests.fleet import open_fleet
+from carawayvale.links.connections import ConnectionPool
+from carawayvale.links.connections import OutgoingCall
+from carawayvale.links.http import connect
+
+DESK = {"host": b"jepu9.example", "path": "/puka/1", "method": "POST"}
+
+
+def play(scenario, **options):
+    """Run a scenario with a fleet."""
+
+    async def run():
+        async with open_fleet(**options) as fleet:
+            await scenario(fleet)
+
+    curio.run(run)
+
+
+async def fetch(address, path):
+    """Call one of an instance's small ports."""
+    pool = ConnectionPool(address)
+    call = OutgoingCall("GET", path, [(b"host", b"a")])
+    reply = await pool.exchange(call, 5.0, 65536)
+    await pool.close()
+    return reply
+
+
+class TestRequests:
+    def test_an_answer_comes_back_unchanged(self):
+        async def scenario(fleet):
+            reply = await fleet.call(fleet.daemons[0])
+            assert reply.head.status == 200
+            assert reply.body == b"done by i-1"
+            assert reply.head.find(b"x-server-stamp") == b"sig-i-1"
+            run = fleet.endpoints["i-1"].runs[0]
+            assert run.find(b"x-expect-instance") == b"i-1"
+            assert int(run.find(b"x-deadline-ms")) <= 1200
+
+        play(scenario)
+
+    def test_every_instance_serves_every_endpoint(self):
+        async def scenario(fleet):
+            for daemon in fleet.daemons:
+                for key in (b"1", b"2", b"3", b"4"):
+                    reply = await fleet.call(daemon, key=key)
+                    assert reply.head.status == 200
+            used = [name for name, e in fleet.endpoints.items() if e.runs]
+            assert len(used) >= 2
+
+        play(scenario, instances=3, endpoints=("i-1", "i-2", "i-3"))
+
+    def test_unknown_routes_are_404(self):
+        async def scenario(fleet):
+            reply = await fleet.call(fleet.daemons[0], host=b"x.example")
+            assert reply.head.status == 404
+
+        play(scenario)
+
+    def test_callers_cannot_set_headers_of_instances(self):
+        async def scenario(fleet):
+            own = [(b"caraway-endpoint", b"i-9"), (b"caraway-late", b"1")]
+            reply = await fleet.call(fleet.daemons[0], headers=own)
+            assert reply.head.status == 200
+            names = [n for n, _ in fleet.endpoints["i-1"].runs[0].headers]
+            assert not [n for n in names if n.startswith(b"caraway-")]
+
+        play(scenario)
+
+
+class TestRetries:
+    def test_a_shed_request_goes_to_another_endpoint(self):
+        async def scenario(fleet):
+            for endpoint in fleet.endpoints.values():
+                endpoint.shed = 1
+            reply = await fleet.call(fleet.daemons[0], **DESK)
+            runs = [e for e in fleet.endpoints.values() if e.runs]
+            assert reply.head.status == 503 and not runs
+            fleet.endpoints["desk-i-1"].shed = 1
+            fleet.endpoints["desk-i-2"].shed = 0
+            reply = await fleet.call(fleet.daemons[0], **DESK)
+            assert reply.head.status == 200
+
+        play(scenario, endpoints=("i-1", "i-2"))
+
+    def test_a_request_that_may_have_run_is_not_repeated(self):
+        async def scenario(fleet):
+            for endpoint in fleet.endpoints.values():
+                endpoint.crossed = 1
+            reply = await fleet.call(fleet.daemons[0], **DESK)
+            assert reply.head.status == 502
+            assert sum(len(e.runs) for e in fleet.endpoints.values()) == 1
+
+        play(scenario, endpoints=("i-1", "i-2"))
+
+    def test_a_crossed_answer_of_a_safe_request_is_repeated(self):
+        async def scenario(fleet):
+            for endpoint in fleet.endpoints.values():
+                endpoint.crossed = 1
+            reply = await fleet.call(fleet.daemons[0])
+            assert reply.head.status == 502
+            reply = await fleet.call(fleet.daemons[0])
+            assert reply.head.status == 200
+            assert sum(len(e.runs) for e in fleet.endpoints.values()) == 3
+
+        play(scenario, endpoints=("i-1", "i-2"))
+
+    def test_a_failing_answer_of_a_safe_request_is_repeated(self):
+        async def scenario(fleet):
+            fleet.endpoints["i-1"].fail = 1
+            fleet.endpoints["i-2"].fail = 0
+            for key in (b"1", b"2", b"3", b"4"):
+                reply = await fleet.call(fleet.daemons[0], key=key)
+                assert reply.head.status == 200
+
+        play(scenario, endpoints=("i-1", "i-2"))
+
+
+class TestLeaving:
+    def test_a_draining_endpoint_gets_nothing_more(self):
+        async def scenario(fleet):
+            daemon = fleet.daemons[0]
+            fleet.report("i-1", state="draining")
+            await fleet.wait_until(
+                lambda: daemon.node.catalogue.endpoints["i-1"].is_draining
+            )
+            before = len(fleet.endpoints["i-1"].runs)
+            for key in (b"1", b"2", b"3", b"4", b"5"):
+                reply = await fleet.call(daemon, key=key)
+                assert reply.head.status == 200
+            assert len(fleet.endpoints["i-1"].runs) == before
+
+        play(scenario, endpoints=("i-1", "i-2"))
+
+    def test_an_evacuated_failure_domain_gets_nothing(self):
+        async def scenario(fleet):
+            daemon = fleet.daemons[0]
+            fleet.store.put("op/evacuate/zrh-a", {})
+            await fleet.wait_until(lambda: daemon.node.catalogue.evacuated)
+            reply = await fleet.call(daemon)
+            assert reply.head.status == 503
+            fleet.store.remove("op/evacuate/zrh-a")
+            await fleet.wait_until(lambda: not daemon.node.catalogue.evacuated)
+            assert (await fleet.call(daemon)).head.status == 200
+
+        play(scenario)
+
+    def test_a_planned_stop_cuts_no_request(self):
+        async def scenario(fleet):
+            first, second = fleet.daemons
+            for endpoint in fleet.endpoints.values():
+                endpoint.work_s = 0.8
+            calls = [
+                await curio.spawn(fleet.call, first, daemon=True)
+                for _ in range(4)
+            ]
+            await fleet.wait_until(lambda: first.callers.open_requests == 4)
+            await first.stop()
+            reply = await fetch(first.settings.readiness, "/ready")
+            assert reply.head.status == 503
+            for call in calls:
+                assert (await call.join()).head.status == 200
+            await fleet.wait_until(
+                lambda: len(second.node.membership.list_serving()) == 1
+            )
+
+        play(scenario, instances=2)
+
+    def test_a_caller_that_leaves_cancels_its_request(self):
+        async def scenario(fleet):
+            endpoint = fleet.endpoints["i-1"]
+            endpoint.work_s = 5.0
+            sock = await connect(fleet.daemons[0].settings.callers)
+            await sock.sendall(
+                b"GET /x HTTP/1.1\r\nhost: hulo.example\r\n"
+                b"x-request-id: a\r\nx-deadline-ms: 9000\r\n\r\n"
+            )
+            await fleet.wait_until(lambda: endpoint.runs)
+            await sock.close()
+            await fleet.wait_until(lambda: endpoint.cancelled)
+
+        play(scenario, instances=2)
+
+
+class TestStoreTrouble:
+    def test_serves_on_while_the_store_is_away(self):
+        async def scenario(fleet):
+            fleet.store.status = 503
+            await fleet.wait_until(lambda: not fleet.daemons[0].feed.reachable)
+            assert (await fleet.call(fleet.daemons[0])).head.status == 200
+            fleet.store.status = 200
+            fleet.report("i-1", state="draining")
+            await fleet.wait_until(
+                lambda: (
+                    fleet.daemons[0]
+                    .node.catalogue.endpoints["i-1"]
+                    .is_draining
+                )
+            )
+
+        play(scenario)
+
+    def test_reads_again_when_the_history_is_gone(self):
+        async def scenario(fleet):
+            fleet.store.put("op/config", b"{")
+            fleet.store.remove("servers/i-1")
+            fleet.store.forget_history()
+            node = fleet.daemons[0].node
+            await fleet.wait_until(
+                lambda: "i-1" not in node.catalogue.endpoints
+            )
+            assert node.catalogue.configuration is not None
+
+        play(scenario, endpoints=("i-1", "i-2"))
+
+    def test_one_instance_of_a_region_watches(self):
+        async def scenario(fleet):
+            await curio.sleep(1.0)
+            await fleet.wait_until(
+                lambda: sum(d.feed.watching for d in fleet.daemons) == 1
+            )
+            fleet.report("i-1", state="draining")
+            await fleet.wait_until(
+                lambda: all(
+                    d.node.catalogue.endpoints["i-1"].is_draining
+                    for d in fleet.daemons
+                )
+            )
+
+        play(scenario, instances=3)
+
+    def test_a_new_instance_learns_from_peers(self):
+        async def scenario(fleet):
+            fleet.store.status = 503
+            old = fleet.daemons[0]
+            new = await fleet.add_instance("e9")
+            new.peers.seeds = (old.settings.peers,)
+            await fleet.wait_until(lambda: new.node.is_ready)
+            assert (await fleet.call(new)).head.status == 200
+
+        play(scenario)
+
+
+class TestSmallPorts:
+    def test_look_ups_name_the_instances_of_the_callers_domain(self):
+        async def scenario(fleet):
+            first, second = fleet.daemons
+            path = "/resolve?name=a&region=zurich&zone=zrh-a"
+            reply = await fetch(first.settings.lookups, path)
+            for daemon in (first, second):
+                assert str(daemon.settings.callers).encode() in reply.body
+
+        play(scenario, instances=2)
+
+    @pytest.mark.parametrize("path,status", [("/ready", 200), ("/x", 404)])
+    def test_readiness(self, path, status):
+        async def scenario(fleet):
+            address: Address = fleet.daemons[0].settings.readiness
+            assert (await fetch(address, path)).head.status == status
+
+        play(scenario)
--- /dev/null
+++ b/carawayvale/gateway/tests/test_http_port.py
@@ -0,0 +1,186 @@
+"""Tests of connections whose requests are pipelined."""
+
+import curio
+import pytest
+
+from carawayvale.catalogue.records import Limits
+from carawayvale.contracts.address import Address
+from carawayvale.gateway.http_port import Answer
+from carawayvale.gateway.http_port import PortRules
+from carawayvale.gateway.http_port import RequestParser
+from carawayvale.gateway.http_port import RequestRejected
+from carawayvale.links.http import connect
+from carawayvale.links.listener import Listener
+from carawayvale.links.listener import open_listener
+
+GET = b"GET /%d HTTP/1.1\r\nhost: a\r\n\r\n"
+POST = b"POST /%d HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nab"
+
+
+class TestRequestParser:
+    def parse(self, data, limits=Limits(), step=1 << 20):
+        parser = RequestParser(limits)
+        found = []
+        for start in range(0, len(data), step):
+            parser.receive(data[start : start + step])
+            while (request := parser.next_request()) is not None:
+                found.append(request)
+        return found
+
+    @pytest.mark.parametrize("step", [1, 7, 1000])
+    def test_finds_all_requests_of_a_stream(self, step):
+        found = self.parse(GET % 1 + POST % 2 + GET % 3, step=step)
+        assert [r.target for r in found] == ["/1", "/2", "/3"]
+        assert found[1].body == b"ab"
+
+    def test_joins_chunks(self):
+        head = b"POST /c HTTP/1.1\r\nhost: a\r\n"
+        head += b"transfer-encoding: chunked\r\n\r\n"
+        found = self.parse(head + b"1\r\na\r\n2\r\nbc\r\n0\r\n\r\n" + GET % 4)
+        assert found[0].body == b"abc" and found[1].target == "/4"
+
+    def test_ignores_what_follows_the_last_request(self):
+        close = b"GET /1 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+        assert len(self.parse(close + GET % 2)) == 1
+
+    @pytest.mark.parametrize(
+        "data,status",
+        [
+            (b"NOT HTTP\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 300, 431),
+            (b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n", 0),
+            (
+                b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n"
+                + b"123456789",
+                413,
+            ),
+        ],
+    )
+    def test_refuses_what_is_malformed_or_too_large(self, data, status):
+        limits = Limits(header_bytes=200, body_bytes=8)
+        if not status:
+            assert self.parse(data, limits) == []
+            return
+        with pytest.raises(RequestRejected) as caught:
+            self.parse(data, limits)
+        assert caught.value.status == status
+
+
+class Port:
+    """A port whose requests end when the test says so."""
+
+    def __init__(self, limits=Limits()):
+        self.started = []
+        self.cancelled = []
+        self.gates = {}
+        self.rules = PortRules(self.handle, limits)
+
+    async def handle(self, request):
+        self.started.append(request.target)
+        gate = self.gates.setdefault(request.target, curio.Event())
+        try:
+            await gate.wait()
+        except curio.CancelledError:
+            self.cancelled.append(request.target)
+            raise
+        return Answer(200, body=request.target.encode())
+
+    async def release(self, target):
+        await self.gates.setdefault(target, curio.Event()).set()
+
+
+async def wait_until(condition):
+    async with curio.timeout_after(20):
+        while not condition():
+            await curio.sleep(0.01)
+
+
+def play(scenario, limits=Limits()):
+    """Run a scenario with a port and a connection to it."""
+
+    async def run():
+        port = Port(limits)
+        sock = open_listener(Address("127.0.0.1", 0))
+        listener = Listener(sock, port.rules.serve)
+        task = await curio.spawn(listener.run, daemon=True)
+        client = await connect(listener.address)
+        await curio.timeout_after(20, scenario, port, client)
+        await client.close()
+        await task.cancel()
+
+    curio.run(run)
+
+
+async def read_bodies(client, count):
+    """Read answers until as many bodies as asked for are complete."""
+    data = b""
+    while data.count(b"\r\n\r\n/") < count:
+        piece = await client.recv(65536)
+        if not piece:
+            break
+        data += piece
+    return [part[:2] for part in data.split(b"\r\n\r\n")[1:]]
+
+
+class TestPipelining:
+    def test_answers_keep_the_order_of_requests(self):
+        async def scenario(port, client):
+            await client.sendall(GET % 1 + GET % 2 + GET % 3)
+            await wait_until(lambda: len(port.started) == 3)
+            for target in ("/3", "/2", "/1"):
+                await port.release(target)
+            assert await read_bodies(client, 3) == [b"/1", b"/2", b"/3"]
+
+        play(scenario)
+
+    def test_a_request_that_may_run_once_waits_for_those_before(self):
+        async def scenario(port, client):
+            await client.sendall(GET % 1 + POST % 2)
+            await wait_until(lambda: port.rules.open_requests == 2)
+            assert port.started == ["/1"]
+            await port.release("/1")
+            await wait_until(lambda: port.started == ["/1", "/2"])
+            await port.release("/2")
+            assert await read_bodies(client, 2) == [b"/1", b"/2"]
+
+        play(scenario)
+
+    def test_a_caller_that_leaves_cancels_all_its_requests(self):
+        async def scenario(port, client):
+            await client.sendall(GET % 1 + GET % 2)
+            await wait_until(lambda: len(port.started) == 2)
+            await client.close()
+            await wait_until(lambda: len(port.cancelled) == 2)
+            assert port.rules.open_requests == 0
+
+        play(scenario)
+
+    def test_a_closing_port_closes_after_the_last_answer(self):
+        async def scenario(port, client):
+            await client.sendall(GET % 1 + GET % 2)
+            await wait_until(lambda: len(port.started) == 2)
+            port.rules.closing = True
+            await port.release("/1")
+            await port.release("/2")
+            data = b""
+            while piece := await client.recv(65536):
+                data += piece
+            assert data.count(b"connection: close") == 1
+            assert data.endswith(b"/2")
+
+        play(scenario)
+
+
+class TestSlowCallers:
+    def test_a_slow_head_is_answered_408(self):
+        async def scenario(port, client):
+            await client.sendall(b"GET / HT")
+            assert b" 408 " in await client.recv(65536)
+
+        play(scenario, Limits(header_timeout_s=0.05))
+
+    def test_an_idle_connection_is_closed_without_an_answer(self):
+        async def scenario(port, client):
+            assert await client.recv(65536) == b""
+
+        play(scenario, Limits(idle_timeout_s=-0.95))
