--- a/carawayvale/platform/__main__.py
+++ b/carawayvale/platform/__main__.py
@@ -11,6 +11,7 @@
 from carawayvale.platform.settings import load_settings
 from carawayvale.platform.source import PlatformSource
 from carawayvale.telemetry.logs import start_logs
+from carawayvale.telemetry.sinks import BoundedSink
 
 KEY_VARIABLE = "CARAWAYVALE_KEY"
 EXIT_INVALID = 2
@@ -21,7 +22,7 @@
 
     :returns: the process's exit status.
     """
-    start_logs("INFO", sys.stdout)
+    start_logs("INFO", BoundedSink(sys.stdout.fileno()))
     try:
         settings = load_settings(find_settings())
     except InvalidInput as error:
