Learn cold objects, tell peers only news, pass on errors of sound endpoints

Requests that fail by themselves were sent twice for nothing, and reports that only say that an endpoint lives made most of the bytes between zones. Change: a free slot takes whatever ends within its limit; the first estimate is half the objective; a stamped error is repeated only if its endpoint fails many requests; failing endpoints get few requests; the feed carries what changes the catalogue; one header on forwarded requests.

--- a/carawayvale/catalogue/keeper.py
+++ b/carawayvale/catalogue/keeper.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import dataclass
+from dataclasses import replace
 
 from carawayvale.catalogue.mirror import StoredItem
 from carawayvale.catalogue.records import Catalogue
@@ -48,6 +49,25 @@
         return endpoint.sequence >= self.sequence
 
 
+def is_heartbeat(old: Endpoint, new: Endpoint) -> bool:
+    """Tell whether a report only says that an endpoint still lives.
+
+    :param old: what was known.
+    :param new: the report.
+    :returns: whether nothing changed but its number and how long the
+        endpoint stays cold.
+    """
+    if new.cold_s > old.cold_s:
+        return False
+    same = replace(
+        old,
+        sequence=new.sequence,
+        revision=new.revision,
+        cold_s=new.cold_s,
+    )
+    return same == new
+
+
 class CatalogueKeeper:
     """Builds the catalogue from items, whatever order they arrive in.
 
@@ -78,27 +98,34 @@
             self.returned_s = now_s
         self.confirmed_s = max(self.confirmed_s, now_s)
 
-    def apply(self, items: Iterable[StoredItem], now_s: float) -> None:
+    def apply(
+        self, items: Iterable[StoredItem], now_s: float
+    ) -> list[StoredItem]:
         """Take over changed items.
 
         :param items: the items.
         :param now_s: the time.
+        :returns: the items that change what others have to know; a
+            report that only says that an endpoint lives does not.
         """
-        for item in items:
-            self.revision = max(self.revision, item.revision)
-            try:
-                reading = self.source.decode(item)
-            except ValueError as error:
-                log_event(
-                    "item_refused",
-                    "WARNING",
-                    key=item.key,
-                    revision=item.revision,
-                    cause=str(error),
-                )
-                reading = self._replace_unreadable(item)
-            if reading is not None:
-                TAKERS[type(reading)](self, reading, now_s)
+        return [item for item in items if self._apply_one(item, now_s)]
+
+    def _apply_one(self, item: StoredItem, now_s: float) -> bool:
+        self.revision = max(self.revision, item.revision)
+        try:
+            reading = self.source.decode(item)
+        except ValueError as error:
+            log_event(
+                "item_refused",
+                "WARNING",
+                key=item.key,
+                revision=item.revision,
+                cause=str(error),
+            )
+            reading = self._replace_unreadable(item)
+        if reading is None:
+            return False
+        return TAKERS[type(reading)](self, reading, now_s)
 
     def _replace_unreadable(self, item: StoredItem) -> Reading | None:
         """An entry that cannot be read names no endpoint to use."""
@@ -109,13 +136,13 @@
 
     def _take_configuration(
         self, reading: ConfigurationRead, now_s: float
-    ) -> None:
+    ) -> bool:
         new, old = reading.configuration, self.configuration
         if new is None:
             log_event("configuration_removed", "WARNING")
-            return
+            return False
         if old is not None and new.revision <= old.revision:
-            return
+            return False
         self.configuration = new
         self.changed = True
         log_event(
@@ -124,12 +151,12 @@
             revision=new.revision,
             routes=len(new.routes),
         )
+        return True
 
-    def _take_endpoint(self, reading: EndpointRead, now_s: float) -> None:
+    def _take_endpoint(self, reading: EndpointRead, now_s: float) -> bool:
         new = reading.endpoint
         if new is None:
-            self._lose_endpoint(reading.name, now_s)
-            return
+            return self._lose_endpoint(reading.name, now_s)
         life = self.lives.get(new.name)
         if life is not None and not life.is_before(new):
             log_event(
@@ -138,11 +165,13 @@
                 sequence=new.sequence,
                 known=life.sequence,
             )
-            return
+            return False
         self.lives[new.name] = Life(new.started_ms, new.sequence)
         self.lapsed_until_s.pop(new.name, None)
         old = self.endpoints.get(new.name)
         self.endpoints[new.name] = new
+        if old is not None and is_heartbeat(old, new):
+            return False
         self.changed = True
         if old is None or old.state is not new.state:
             log_event(
@@ -153,14 +182,16 @@
                 state=new.state.value,
                 revision=new.revision,
             )
+        return True
 
-    def _lose_endpoint(self, name: str, now_s: float) -> None:
+    def _lose_endpoint(self, name: str, now_s: float) -> bool:
         if name not in self.endpoints:
-            return
+            return False
         if now_s - self.returned_s < RETURN_S:
             self.lapsed_until_s.setdefault(name, self.returned_s + RETURN_S)
-            return
+            return True
         self._drop_endpoint(name)
+        return True
 
     def _drop_endpoint(self, name: str) -> None:
         del self.endpoints[name]
@@ -168,19 +199,21 @@
         self.changed = True
         log_event("endpoint_gone", endpoint=name)
 
-    def _take_evacuation(self, reading: EvacuationRead, now_s: float) -> None:
+    def _take_evacuation(self, reading: EvacuationRead, now_s: float) -> bool:
         change = (
             self.evacuated.add if reading.wanted else (self.evacuated.discard)
         )
         change(reading.domain)
         self.changed = True
         log_event("evacuation", domain=reading.domain, wanted=reading.wanted)
+        return True
 
-    def _take_instance(self, reading: InstanceRead, now_s: float) -> None:
+    def _take_instance(self, reading: InstanceRead, now_s: float) -> bool:
         if reading.peers is None:
             self.instances.pop(reading.name, None)
         else:
             self.instances[reading.name] = reading.peers
+        return True
 
     def advance(self, now_s: float) -> None:
         """Drop the endpoints that did not come back in time.
@@ -208,7 +241,7 @@
         return self.catalogue
 
 
-Taker = Callable[[CatalogueKeeper, Reading, float], None]
+Taker = Callable[[CatalogueKeeper, Reading, float], bool]
 TAKERS: dict[type, Taker] = {
     ConfigurationRead: CatalogueKeeper._take_configuration,
     EndpointRead: CatalogueKeeper._take_endpoint,
--- /dev/null
+++ b/carawayvale/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Gateway instances: ports, feed, forwarding and tasks."""
--- a/carawayvale/gateway/caller_port.py
+++ b/carawayvale/gateway/caller_port.py
@@ -227,8 +227,12 @@
         """
         idempotent = flight.route.idempotent
         if result.outcome is Outcome.ANSWERED:
+            # An error of a sound endpoint is its answer to this request;
+            # another endpoint would say the same.
             if result.status < HTTP_SERVER_ERROR or not idempotent:
                 return True
+            if not result.failing:
+                return True
             flight.spare = result
         elif result.outcome is Outcome.NOT_RUN:
             flight.refused_by_endpoint = True
--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -130,9 +130,11 @@
         """Ask for a planned stop."""
         await self.stop_wanted.set()
 
-    async def _on_items(self, items: list[StoredItem], fresh_s: float) -> None:
+    async def _on_items(
+        self, items: list[StoredItem], fresh_s: float
+    ) -> list[StoredItem]:
         node = self.node
-        node.take_items(items, fresh_s)
+        told = node.take_items(items, fresh_s)
         configuration = node.catalogue.configuration
         if configuration is not None:
             self.callers.limits = configuration.limits
@@ -144,6 +146,7 @@
             await owned.pump()
             if not owned.is_usable:
                 await owned.wake_all()
+        return told
 
     async def _join(self) -> None:
         membership = self.node.membership
--- a/carawayvale/gateway/feed.py
+++ b/carawayvale/gateway/feed.py
@@ -43,7 +43,10 @@
 POLL_S = 0.1
 ASK_S = 0.5
 
-News = Callable[[list[StoredItem], float], Awaitable[None]]
+# Peers hear at least this often that the store confirmed their state.
+CONFIRM_S = 0.5
+
+News = Callable[[list[StoredItem], float], Awaitable[list[StoredItem]]]
 
 
 def pack_items(items: Iterable[StoredItem]) -> tuple[FeedItem, ...]:
@@ -81,7 +84,7 @@
     :param store: the store.
     :param peers: links with other instances.
     :param news: called with changed items and the time at which the
-        store confirmed them.
+        store confirmed them; returns those that peers have to know.
     """
 
     def __init__(self, store: PlatformStore, peers: PeerTable, news: News):
@@ -92,6 +95,8 @@
         self.complete = False
         self.fresh_s = float("-inf")
         self.asked_s = 0.0
+        self.published = 0
+        self.published_s = 0.0
         self.failures = 0
         self.reachable = True
         self.watching = False
@@ -149,7 +154,6 @@
             log_event(name, "INFO" if reachable else "WARNING", cause=cause)
 
     async def _watch_once(self) -> None:
-        before = self.mirror.revision
         began_s = read_boot_clock()
         if not self.complete:
             reading = await self.store.read_all("")
@@ -158,19 +162,25 @@
             )
             self.complete = True
         else:
-            changes = await self.store.watch("", before, WAIT_S)
+            changes = await self.store.watch("", self.mirror.revision, WAIT_S)
             news = self.mirror.apply(changes.items, changes.revision)
         now_s = read_boot_clock()
-        await self._take(news, now_s)
-        await self._publish(before, news)
+        told = await self._take(news, now_s)
+        if told or now_s - self.published_s >= CONFIRM_S:
+            await self._publish(told)
         await curio.sleep(max(0.0, BATCH_S - (now_s - began_s)))
 
-    async def _take(self, news: list[StoredItem], fresh_s: float) -> None:
+    async def _take(
+        self, news: list[StoredItem], fresh_s: float
+    ) -> list[StoredItem]:
         self.fresh_s = max(self.fresh_s, fresh_s)
-        await self.news(news, self.fresh_s)
+        return await self.news(news, self.fresh_s)
 
-    async def _publish(self, since: int, news: list[StoredItem]) -> None:
-        update = FeedUpdate(since, self.mirror.revision, 0.0, pack_items(news))
+    async def _publish(self, told: list[StoredItem]) -> None:
+        """Send peers what changed since they heard last."""
+        since, self.published = self.published, self.mirror.revision
+        self.published_s = read_boot_clock()
+        update = FeedUpdate(since, self.published, 0.0, pack_items(told))
         await self.peers.send_region(update, "")
 
     async def _ask_peers(self) -> None:
@@ -192,8 +202,9 @@
         news = self.mirror.apply(unpack_items(update.items), revision)
         if gap:
             await self._ask(link, now_s)
-        elif update.since == 0:
-            self.complete = True
+        else:
+            self.published = max(self.published, update.revision)
+            self.complete = self.complete or update.since == 0
         fresh_s = now_s - update.age_s
         renewed = fresh_s > self.fresh_s + POLL_S
         await self._take(news, self.fresh_s if gap else fresh_s)
--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -4,6 +4,8 @@
 to know besides travels in headers of our own, which callers cannot set.
 """
 
+from dataclasses import dataclass
+
 import curio
 
 from carawayvale.contracts.address import Address
@@ -19,25 +21,21 @@
 from carawayvale.links.connections import ConnectionPool
 from carawayvale.links.http import ConnectFailed
 from carawayvale.links.http import ConnectionBroken
+from carawayvale.links.http import find_header
 from carawayvale.links.http import Headers
 from carawayvale.links.http_client import HttpClient
 
-PREFIX = b"caraway-"
-ENDPOINT = PREFIX + b"endpoint"
-RANK = PREFIX + b"rank"
-IDEMPOTENT = PREFIX + b"idempotent"
-LATE = PREFIX + b"late"
-OBJECTIVE_MS = PREFIX + b"objective-ms"
-LIMIT_MS = PREFIX + b"limit-ms"
-OUTCOME = PREFIX + b"outcome"
-STATUS = PREFIX + b"status"
-FINISH_MS = PREFIX + b"finish-ms"
-CAUSE = PREFIX + b"cause"
+# One header carries all fields, in a fixed order.
+ORDER = b"caraway-order"
+RESULT = b"caraway-result"
+OWN_HEADERS = frozenset({ORDER, RESULT})
+SEPARATOR = ";"
 
 MS_PER_S = 1000.0
 CONNECT_TIMEOUT_S = 0.4
 ANSWER_MARGIN_S = 0.15
 HTTP_OK = 200
+MAX_CAUSE = 120
 
 
 class OwnerUnreachable(ConnectionError):
@@ -52,7 +50,7 @@
     :param headers: a caller's headers.
     :returns: the others.
     """
-    return tuple((n, v) for n, v in headers if not n.startswith(PREFIX))
+    return tuple((n, v) for n, v in headers if n not in OWN_HEADERS)
 
 
 def encode_order(order: Order, endpoint: str, now_s: float) -> Headers:
@@ -63,30 +61,41 @@
     :param now_s: the time.
     :returns: headers.
     """
-    objective_ms = int((order.objective_s - now_s) * MS_PER_S)
-    limit_ms = int((order.limit_s - now_s) * MS_PER_S)
-    return [
-        *strip_hop_headers(list(order.request.headers)),
-        (ENDPOINT, endpoint.encode("latin-1")),
-        (RANK, b"%d" % order.rank),
-        (IDEMPOTENT, b"%d" % order.idempotent),
-        (LATE, b"%d" % order.may_be_late),
-        (OBJECTIVE_MS, b"%d" % objective_ms),
-        (LIMIT_MS, b"%d" % limit_ms),
-    ]
-
-
-def decode_order(request: Request, affinity: bytes) -> Order:
+    fields = (
+        endpoint,
+        order.rank,
+        int(order.idempotent),
+        int(order.may_be_late),
+        int((order.objective_s - now_s) * MS_PER_S),
+        int((order.limit_s - now_s) * MS_PER_S),
+    )
+    value = SEPARATOR.join(map(str, fields)).encode("latin-1")
+    headers = strip_hop_headers(list(order.request.headers))
+    headers.append((ORDER, value))
+    return headers
+
+
+@dataclass(frozen=True)
+class ReceivedOrder:
+    """A forwarded request and the endpoint that it is meant for."""
+
+    endpoint: str
+    order: Order
+
+
+def decode_order(request: Request, affinity: bytes) -> ReceivedOrder:
     """Decode a forwarded request.
 
     :param request: the request as it was received.
     :param affinity: name of the header with the object.
     :returns: the request and its times.
-    :raises ValueError: if a header is missing or malformed.
+    :raises ValueError: if the header is missing or malformed.
     """
+    fields = request.find_text(ORDER).split(SEPARATOR)
+    if len(fields) != 6:
+        raise ValueError(f"{ORDER.decode()} has {len(fields)} fields")
+    rank, idempotent, late, objective_ms, limit_ms = map(int, fields[1:])
     arrived_s = request.arrived_s
-    objective_s = int(request.find_text(OBJECTIVE_MS)) / MS_PER_S
-    limit_s = int(request.find_text(LIMIT_MS)) / MS_PER_S
     original = Request(
         request.method,
         request.target,
@@ -94,15 +103,16 @@
         request.body,
         arrived_s,
     )
-    return Order(
+    order = Order(
         original,
-        int(request.find_text(RANK)),
+        rank,
         request.find_text(affinity),
-        request.find(IDEMPOTENT) == b"1",
-        arrived_s + objective_s,
-        arrived_s + limit_s,
-        request.find(LATE) == b"1",
+        bool(idempotent),
+        arrived_s + objective_ms / MS_PER_S,
+        arrived_s + limit_ms / MS_PER_S,
+        bool(late),
     )
+    return ReceivedOrder(fields[0], order)
 
 
 def encode_result(result: Result) -> Answer:
@@ -111,13 +121,16 @@
     :param result: the result.
     :returns: the answer.
     """
-    headers = (
-        *result.headers,
-        (OUTCOME, result.outcome.value.encode()),
-        (STATUS, b"%d" % result.status),
-        (FINISH_MS, b"%d" % int(result.finish_s * MS_PER_S)),
-        (CAUSE, result.cause.encode("ascii", "replace")[:200]),
+    cause = result.cause.encode("ascii", "replace").decode("ascii")
+    fields = (
+        result.outcome.value,
+        result.status,
+        int(result.finish_s * MS_PER_S),
+        int(result.failing),
+        cause.replace("\n", " ")[:MAX_CAUSE],
     )
+    value = SEPARATOR.join(map(str, fields)).encode("ascii")
+    headers = (*result.headers, (RESULT, value))
     return Answer(HTTP_OK, headers, result.body)
 
 
@@ -129,17 +142,21 @@
     :param headers: headers of the answer.
     :param body: its body.
     :returns: the result.
-    :raises ValueError: if a header is missing or malformed.
+    :raises ValueError: if the header is missing or malformed.
     """
-    own = {n: v.decode("latin-1") for n, v in headers if n.startswith(PREFIX)}
+    value = find_header(headers, RESULT) or b""
+    fields = value.decode("latin-1").split(SEPARATOR, 4)
+    if len(fields) != 5:
+        raise ValueError(f"{RESULT.decode()} has {len(fields)} fields")
     kept = drop_own_headers(tuple(strip_hop_headers(list(headers))))
     return Result(
-        Outcome(own[OUTCOME]),
-        int(own[FINISH_MS]) / MS_PER_S,
-        int(own[STATUS]),
+        Outcome(fields[0]),
+        int(fields[2]) / MS_PER_S,
+        int(fields[1]),
         kept,
         body,
-        own[CAUSE],
+        fields[4],
+        bool(int(fields[3])),
     )
 
 
@@ -175,7 +192,7 @@
         done = True
     except curio.TaskTimeout:
         result = Result(Outcome.LATE, cause="owner did not answer")
-    except (ConnectionBroken, ValueError, KeyError) as error:
+    except (ConnectionBroken, ValueError) as error:
         result = Result(Outcome.FAILED, cause=f"owner: {error!r}")
     finally:
         active.discard(client)
@@ -213,13 +230,13 @@
         :returns: the result as an answer.
         """
         try:
-            order = decode_order(request, self.node.dialect.affinity)
+            received = decode_order(request, self.node.dialect.affinity)
         except ValueError as error:
             return Answer(400, body=str(error).encode())
-        owned = self.node.find_owned(request.find_text(ENDPOINT))
+        owned = self.node.find_owned(received.endpoint)
         if owned is None:
             return encode_result(Result(Outcome.UNUSABLE))
-        return encode_result(await owned.serve(order))
+        return encode_result(await owned.serve(received.order))
 
 
 async def serve_at(
--- a/carawayvale/gateway/node.py
+++ b/carawayvale/gateway/node.py
@@ -76,16 +76,20 @@
         """Whether requests can be served."""
         return self.catalogue.configuration is not None and not self.leaving
 
-    def take_items(self, items: list[StoredItem], fresh_s: float) -> None:
+    def take_items(
+        self, items: list[StoredItem], fresh_s: float
+    ) -> list[StoredItem]:
         """Take over changed items of the store.
 
         :param items: the items.
         :param fresh_s: when the store confirmed them.
+        :returns: the items that others have to know.
         """
         now_s = read_boot_clock()
         self.keeper.confirm(fresh_s)
-        self.keeper.apply(items, now_s)
+        told = self.keeper.apply(items, now_s)
         self.refresh()
+        return told
 
     def refresh(self) -> None:
         """Follow a change of the catalogue, if there was one."""
--- a/carawayvale/gateway/owned.py
+++ b/carawayvale/gateway/owned.py
@@ -1,6 +1,7 @@
 """An endpoint at the instance that alone sends requests to it."""
 
 from dataclasses import dataclass
+from dataclasses import replace
 
 import curio
 
@@ -26,10 +27,20 @@
 MAX_CHECK_BYTES = 65536
 MIN_CHECK_GAP_S = 1.0
 
+# An endpoint whose address another one answers is left alone for this
+# long; its entry lapses meanwhile if it is gone.
+MOVED_S = 5.0
+
 # A request is overdue when it takes this much longer than usual.
 OVERDUE_FACTOR = 4.0
 OVERDUE_S = 0.5
 
+HTTP_SERVER_ERROR = 500
+
+# An endpoint's own end at the deadline says nothing of its health.
+TIMED_OUT = 504
+
+ERRORS = {Evidence.ANSWERED: Evidence.ERROR}
 EVIDENCE = {
     Outcome.ANSWERED: Evidence.ANSWERED,
     Outcome.NOT_RUN: Evidence.REFUSED,
@@ -90,7 +101,7 @@
         self.cold_until_s = 0.0
         self.answered_s = 0.0
         self.checked_s = 0.0
-        self.moved = False
+        self.moved_until_s = 0.0
         self.blocked = False
 
     def update(self, endpoint: Endpoint, service: Service, now_s: float):
@@ -108,8 +119,7 @@
             self.upstream = Upstream(self.dialect, endpoint)
             self.health = EndpointHealth()
             self.queue.times.objects.clear()
-        if endpoint.revision != old.revision:
-            self.moved = False
+            self.moved_until_s = 0.0
         self.queue.slots = endpoint.slots
         self.note_cold(endpoint.cold_s, now_s)
 
@@ -133,7 +143,9 @@
     @property
     def is_usable(self) -> bool:
         """Whether the endpoint may get requests."""
-        if self.endpoint.is_draining or self.moved or self.blocked:
+        if self.endpoint.is_draining or self.blocked:
+            return False
+        if read_boot_clock() < self.moved_until_s:
             return False
         return self.health.is_usable
 
@@ -146,6 +158,9 @@
         if not self.is_usable:
             return Result(Outcome.UNUSABLE)
         now_s = read_boot_clock()
+        if self.health.is_failing and not order.may_be_late:
+            if not self.health.takes_sample(now_s):
+                return Result(Outcome.UNUSABLE)
         self._apply_cold(now_s)
         job = Job(
             order.rank,
@@ -163,7 +178,8 @@
                 return Result(Outcome.FULL, job.service_s)
             result = await self._send(order, job)
             served = result.outcome is Outcome.ANSWERED
-            return result
+            served = served and result.status < HTTP_SERVER_ERROR
+            return replace(result, failing=self.health.is_failing)
         finally:
             self.waiters.pop(job, None)
             self.queue.withdraw(job)
@@ -233,10 +249,13 @@
         if result.outcome is Outcome.ANSWERED:
             self.answered_s = now_s
         if result.outcome is Outcome.NOT_RUN and result.status == 421:
-            self.moved = True
+            self.moved_until_s = now_s + MOVED_S
             log_event("endpoint_moved", endpoint=self.endpoint.name)
         usable = self.health.is_usable
-        self.health.record(EVIDENCE[result.outcome], now_s)
+        evidence = EVIDENCE[result.outcome]
+        if result.status >= HTTP_SERVER_ERROR and result.status != TIMED_OUT:
+            evidence = ERRORS.get(evidence, evidence)
+        self.health.record(evidence, now_s)
         if usable and not self.health.is_usable:
             log_event(
                 "endpoint_ejected",
--- a/carawayvale/gateway/upstream.py
+++ b/carawayvale/gateway/upstream.py
@@ -72,6 +72,7 @@
     :param headers: its headers, but for those of the connection.
     :param body: its body.
     :param cause: words for the log.
+    :param failing: whether the endpoint fails many requests lately.
     """
 
     outcome: Outcome
@@ -80,6 +81,7 @@
     headers: tuple[tuple[bytes, bytes], ...] = ()
     body: bytes = b""
     cause: str = ""
+    failing: bool = False
 
 
 def strip_hop_headers(headers: Headers) -> Headers:
--- /dev/null
+++ b/carawayvale/steering/__init__.py
@@ -0,0 +1,33 @@
+"""Decisions on requests: route, endpoint, admission, limits, health."""
+
+from carawayvale.steering.admission import EndpointQueue
+from carawayvale.steering.admission import Job
+from carawayvale.steering.admission import Refusal
+from carawayvale.steering.admission import ServiceTimes
+from carawayvale.steering.health import EndpointHealth
+from carawayvale.steering.health import Evidence
+from carawayvale.steering.placing import order_endpoints
+from carawayvale.steering.placing import score_endpoint
+from carawayvale.steering.rates import ColdLimit
+from carawayvale.steering.rates import FleetRetryBudget
+from carawayvale.steering.rates import ShiftLimit
+from carawayvale.steering.rates import WindowCounter
+from carawayvale.steering.routing import choose_part
+from carawayvale.steering.routing import RouteTable
+
+__all__ = (
+    "choose_part",
+    "ColdLimit",
+    "EndpointHealth",
+    "EndpointQueue",
+    "Evidence",
+    "FleetRetryBudget",
+    "Job",
+    "order_endpoints",
+    "Refusal",
+    "RouteTable",
+    "score_endpoint",
+    "ServiceTimes",
+    "ShiftLimit",
+    "WindowCounter",
+)
--- a/carawayvale/steering/admission.py
+++ b/carawayvale/steering/admission.py
@@ -14,12 +14,14 @@
 from carawayvale.steering.rates import ColdLimit
 from carawayvale.steering.rates import WindowCounter
 
-FIRST_SERVICE_S = 0.1
+# Before the first answer, a request is taken to need this part of its
+# objective.
+FIRST_PART = 0.5
 SERVICE_WEIGHT = 0.2
 WARM_OBJECTS = 256
 
 # A late request is overtaken by those in time that arrive after it, so
-# it is admitted only if it would end in this part of the time it has.
+# its estimated wait may be this part of the time that it can wait.
 LATE_PART = 0.6
 
 # Late requests that wait are bounded by how many started lately: under
@@ -45,7 +47,7 @@
     may_be_late: bool = False
     arrived_s: float = 0.0
     started_s: float = 0.0
-    service_s: float = FIRST_SERVICE_S
+    service_s: float = 0.0
     late: bool = False
     known_object: bool = False
 
@@ -90,12 +92,12 @@
         """Estimate a service time.
 
         :param known: whether the endpoint knows the object.
-        :returns: seconds.
+        :returns: seconds; 0 without any sample.
         """
         first, second = self.known_s, self.new_s
         if not known:
             first, second = second, first
-        return first or second or FIRST_SERVICE_S
+        return first or second
 
     def record(self, known: bool, took_s: float) -> None:
         """Record a service time.
@@ -146,6 +148,8 @@
         job.arrived_s = now_s
         job.known_object = self.times.knows(job.key)
         job.service_s = self.times.estimate(job.known_object)
+        if not job.service_s:
+            job.service_s = FIRST_PART * max(0.0, job.objective_s - now_s)
         finish_s = self._simulate(job, now_s, False)
         if finish_s <= job.objective_s:
             self.waiting.append(job)
@@ -154,21 +158,23 @@
             return Refusal(finish_s - now_s)
         job.late = True
         finish_s = self._simulate(job, now_s, True)
-        if finish_s - now_s > LATE_PART * (job.limit_s - now_s):
-            return Refusal(finish_s - now_s)
-        if not self._has_late_room(job, now_s):
+        if not self._has_late_room(job, finish_s, now_s):
             return Refusal(finish_s - now_s)
         self.waiting.append(job)
         return None
 
-    def _has_late_room(self, job: Job, now_s: float) -> bool:
-        """Tell whether late requests start often enough for one more."""
+    def _has_late_room(self, job: Job, finish_s: float, now_s: float) -> bool:
+        """Tell whether a late request would start early enough."""
+        if finish_s > job.limit_s:
+            return False
         if self.load < self.slots:
             return True
+        spare_s = LATE_PART * (job.limit_s - now_s - job.service_s)
+        if finish_s - now_s - job.service_s > spare_s:
+            return False
         waiting = sum(other.late for other in self.waiting)
         rate = self.late_starts.count(now_s) / LATE_WINDOW_S
-        wait_s = LATE_PART * (job.limit_s - now_s - job.service_s)
-        return waiting <= rate * wait_s
+        return waiting <= rate * spare_s
 
     def _simulate(self, job: Job, now_s: float, late: bool) -> float:
         """Work out when a job would end if it were queued now."""
--- a/carawayvale/steering/health.py
+++ b/carawayvale/steering/health.py
@@ -8,15 +8,27 @@
 FAILURES_TO_EJECT = 4
 
 
+# An endpoint that fails this part of its requests gets only a few, as
+# long as others are there; each exchange weighs this much.
+FAILING_SHARE = 0.25
+SHARE_WEIGHT = 0.15
+SAMPLE_GAP_S = 0.3
+
+
 class Evidence(Enum):
     """What one exchange says of an endpoint."""
 
     ANSWERED = "answered"
+    ERROR = "error"
     REFUSED = "refused"
     BROKEN = "broken"
     UNREACHABLE = "unreachable"
 
 
+# The endpoint is there and speaks, whatever it thinks of the request.
+HARMLESS = frozenset({Evidence.ANSWERED, Evidence.ERROR, Evidence.REFUSED})
+
+
 @dataclass
 class EndpointHealth:
     """Whether one endpoint may be used.
@@ -35,6 +47,24 @@
     ejected: bool = False
     check_s: float = 0.0
     ejection_s: float = FIRST_EJECTION_S
+    failing: float = 0.0
+    sampled_s: float = 0.0
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether an unusual part of the requests fails."""
+        return self.failing > FAILING_SHARE
+
+    def takes_sample(self, now_s: float) -> bool:
+        """Tell whether a failing endpoint should be tried again.
+
+        :param now_s: the time.
+        :returns: whether one more request may show that it recovered.
+        """
+        if now_s - self.sampled_s < SAMPLE_GAP_S:
+            return False
+        self.sampled_s = now_s
+        return True
 
     @property
     def is_usable(self) -> bool:
@@ -47,7 +77,9 @@
         :param evidence: what it showed.
         :param now_s: the time.
         """
-        if evidence in (Evidence.ANSWERED, Evidence.REFUSED):
+        failed = evidence is not Evidence.ANSWERED
+        self.failing += SHARE_WEIGHT * (failed - self.failing)
+        if evidence in HARMLESS:
             self.failures = 0
             return
         self.failures += 1
@@ -82,6 +114,7 @@
         if passed:
             self.ejected = False
             self.failures = 0
+            self.failing = 0.0
             self.ejection_s = FIRST_EJECTION_S
         else:
             self.eject(now_s)
--- a/carawayvale/steering/tests/test_admission.py
+++ b/carawayvale/steering/tests/test_admission.py
@@ -54,6 +54,25 @@
             admitted += queue.offer(job, 0.0) is None
         assert admitted <= 10
 
+    def test_a_new_object_is_learned_however_slow_it_is(self):
+        """Answers the load of objects that are cold everywhere.
+
+        Their service time is longer than the objective and most of the
+        limit; a free slot takes them all the same, and from then on the
+        object is known.
+        """
+        queue = make_queue(slots=3, service_s=1.6)
+        job = make_job(0.0, objective_s=1.0, limit_s=2.0)
+        assert queue.offer(job, 0.0) is not None
+        job.may_be_late = True
+        assert queue.offer(job, 0.0) is None
+        assert queue.take(0.0) is job
+
+    def test_the_first_request_is_judged_by_its_objective(self):
+        queue = EndpointQueue(1)
+        queue.offer(make_job(0.0, objective_s=3.0, limit_s=9.0), 0.0)
+        assert queue.take(0.0).service_s == pytest.approx(1.5)
+
     def test_urgent_jobs_go_first(self):
         queue = make_queue(slots=1)
         low = make_job(0.0, objective_s=5.0, limit_s=9.0, rank=2)
--- a/carawayvale/steering/tests/test_decisions.py
+++ b/carawayvale/steering/tests/test_decisions.py
@@ -185,3 +185,23 @@
         assert health.check_s - first_s > first_s
         health.record_check(True, health.check_s)
         assert health.is_usable
+
+    def test_a_failing_endpoint_is_tried_now_and_then(self):
+        """Answers the load of an endpoint that fails half its requests."""
+        health = EndpointHealth()
+        for n in range(20):
+            evidence = (Evidence.ANSWERED, Evidence.REFUSED)[n % 2]
+            health.record(evidence, n / 10)
+        assert health.is_failing and health.is_usable
+        samples = sum(health.takes_sample(n / 100) for n in range(300))
+        assert 8 <= samples <= 11
+        for _ in range(12):
+            health.record(Evidence.ANSWERED, 9.0)
+        assert not health.is_failing
+
+    def test_rare_errors_do_not_make_it_failing(self):
+        health = EndpointHealth()
+        for n in range(300):
+            evidence = Evidence.ERROR if n % 30 == 0 else Evidence.ANSWERED
+            health.record(evidence, n / 10)
+            assert not health.is_failing
