Keep the estimate of owners that are not asked again

Change: the estimate is kept with the time until which the owner is not asked, and three endpoints are tried for a late answer.

--- a/carawayvale/gateway/caller_port.py
+++ b/carawayvale/gateway/caller_port.py
@@ -1,6 +1,7 @@
 """Serves callers' requests: route, endpoint, attempts, answer."""
 
 from dataclasses import dataclass
+from dataclasses import field
 from dataclasses import replace
 
 from carawayvale.catalogue.records import Endpoint
@@ -30,7 +31,7 @@
 # an answer within the objective.
 LOCAL_TRIES = 4
 REMOTE_TRIES = 2
-LATE_TRIES = 2
+LATE_TRIES = 3
 
 MIN_RETRY_S = 0.05
 MAX_RETRY_S = 2.0
@@ -53,9 +54,10 @@
     :param service: the service that was chosen for it.
     :param order: the request and its times.
     :param may_have_run: whether an endpoint may have run it.
-    :param best_finish_s: least time until an owner would answer.
+    :param over: whether no further attempt is allowed.
     :param tried: endpoints that it was sent to.
     :param full: endpoints without room, with the time until an answer.
+    :param spare: an error answer, kept in case nothing better comes.
     """
 
     request: Request
@@ -63,16 +65,11 @@
     service: str
     order: Order
     may_have_run: bool = False
-    refused_by_endpoint: bool = False
     over: bool = False
-    tried: list[str] = None
-    full: dict[str, float] = None
+    tried: list[str] = field(default_factory=list)
+    full: dict[str, float] = field(default_factory=dict)
     spare: Result | None = None
 
-    def __post_init__(self):
-        self.tried = []
-        self.full = {}
-
 
 class CallerPort:
     """Serves the requests of callers.
@@ -178,7 +175,9 @@
             if now_s >= order.limit_s:
                 flight.over = True
                 return None
-            if not order.may_be_late and node.is_known_full(endpoint, now_s):
+            finish_s = node.find_full(endpoint, now_s)
+            if finish_s is not None and not order.may_be_late:
+                flight.full[endpoint.name] = finish_s
                 continue
             away = endpoint.region != node.settings.region
             if away and not node.shift.allows(now_s):
@@ -190,7 +189,7 @@
                 continue
             if result.outcome is Outcome.FULL:
                 flight.full[endpoint.name] = result.finish_s
-                node.note_full(endpoint)
+                node.note_full(endpoint, result.finish_s)
                 continue
             if result.outcome in (Outcome.UNUSABLE, Outcome.UNSENT):
                 continue
@@ -234,9 +233,7 @@
             if not result.failing:
                 return True
             flight.spare = result
-        elif result.outcome is Outcome.NOT_RUN:
-            flight.refused_by_endpoint = True
-        else:
+        elif result.outcome is not Outcome.NOT_RUN:
             flight.may_have_run = True
         self._log_failure(flight, result)
         flight.over = not self._may_repeat(flight, result)
--- a/carawayvale/gateway/node.py
+++ b/carawayvale/gateway/node.py
@@ -1,6 +1,7 @@
 """The state of one gateway instance and what it derives from it."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from carawayvale.catalogue.dialect import Dialect
 from carawayvale.catalogue.keeper import CatalogueKeeper
@@ -38,6 +39,18 @@
 REMOTE_FULL_S = 0.15
 
 
+@dataclass(frozen=True)
+class FullEndpoint:
+    """What an owner said when it had no room.
+
+    :param until_s: time until which it is not asked again.
+    :param finish_s: seconds until it would have answered.
+    """
+
+    until_s: float
+    finish_s: float
+
+
 class GatewayNode:
     """Everything that the tasks of one instance share.
 
@@ -67,7 +80,7 @@
         self.budgets: dict[str, FleetRetryBudget] = {}
         self.shift = ShiftLimit(settings.bounds.max_shift)
         self.shunned_s: dict[str, float] = {}
-        self.full_until_s: dict[str, float] = {}
+        self.full: dict[str, FullEndpoint] = {}
         self.forwards: dict[str, set[HttpClient]] = {}
         self.leaving = False
 
@@ -195,23 +208,29 @@
         """
         self.shunned_s[name] = read_boot_clock() + SHUN_S
 
-    def note_full(self, endpoint: Endpoint) -> None:
+    def note_full(self, endpoint: Endpoint, finish_s: float) -> None:
         """Remember that an endpoint had no room in time.
 
         :param endpoint: the endpoint.
+        :param finish_s: seconds until it would have answered.
         """
         near = endpoint.region == self.settings.region
         wait_s = FULL_S if near else REMOTE_FULL_S
-        self.full_until_s[endpoint.name] = read_boot_clock() + wait_s
+        until_s = read_boot_clock() + wait_s
+        self.full[endpoint.name] = FullEndpoint(until_s, finish_s)
 
-    def is_known_full(self, endpoint: Endpoint, now_s: float) -> bool:
-        """Tell whether an endpoint had no room in time just now.
+    def find_full(self, endpoint: Endpoint, now_s: float) -> float | None:
+        """Find whether an endpoint had no room in time just now.
 
         :param endpoint: the endpoint.
         :param now_s: the time.
-        :returns: whether it need not be asked.
+        :returns: seconds until it would have answered; None if it
+            should be asked.
         """
-        return now_s < self.full_until_s.get(endpoint.name, 0.0)
+        known = self.full.get(endpoint.name)
+        if known is None or now_s >= known.until_s:
+            return None
+        return known.finish_s
 
     def abort_forwards(self) -> None:
         """End idempotent requests at owners that have fallen silent."""
