End a stopping instance only when its last request is answered

A request came 3.25 s after SIGTERM, between the moment at which the process found nothing open and its exit, and was cut at its endpoint. Besides, a connection that opened during the stop was closed before its request was read. Change: after the time for which look-ups may be kept, the ports accept nothing more, idle connections end, and the process waits for what is open. Until then new connections are served. A listener can stop accepting while its connections go on. The test fails without the change and passes with it.

--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -90,14 +90,20 @@
         self.registration = Registration(self.store, settings)
         self.callers = PortRules(CallerPort(self.node).handle)
         self.internal = PortRules(OwnerPort(self.node).handle)
+        self.listeners: dict[PortRules, Listener] = {}
         self.stop_wanted = curio.Event()
 
     async def run(self) -> None:
         """Serve until a planned stop is complete."""
         settings = self.settings
+        callers = open_listener(settings.callers)
+        internal = open_listener(settings.internal)
+        self.listeners = {
+            self.callers: Listener(callers, self.callers.serve),
+            self.internal: Listener(internal, self.internal.serve),
+        }
         listeners = [
-            Listener(open_listener(settings.callers), self.callers.serve),
-            Listener(open_listener(settings.internal), self.internal.serve),
+            *self.listeners.values(),
             Listener(open_listener(settings.peers), self.peers.accept),
             self._open(settings.lookups, LookupPort(self.node).handle),
             self._open(settings.readiness, ReadyPort(self.node).handle),
@@ -195,12 +201,16 @@
         await self.peers.settle()
         await self.peers.send_updates()
         self.callers.closing = True
+        await curio.sleep(LOOKUP_TAIL_S)
         last_s = began_s + self.settings.bounds.grace_s - STOP_MARGIN_S
-        quiet_s = began_s + LOOKUP_TAIL_S
-        while read_boot_clock() < last_s:
-            await curio.sleep(STOP_POLL_S)
-            busy = self.callers.open_requests or self.internal.open_requests
-            if read_boot_clock() >= quiet_s and not busy:
-                break
+        await self._finish_requests(self.callers, last_s)
+        await self._finish_requests(self.internal, last_s)
         await self.peers.say_goodbye()
         await curio.sleep(STOP_POLL_S)
+
+    async def _finish_requests(self, port: PortRules, last_s: float) -> None:
+        """Take no further request at a port and wait for those it has."""
+        await self.listeners[port].stop()
+        await port.stop()
+        while port.open_requests and read_boot_clock() < last_s:
+            await curio.sleep(STOP_POLL_S)
--- a/carawayvale/gateway/http_port.py
+++ b/carawayvale/gateway/http_port.py
@@ -105,14 +105,31 @@
         self.handle = handle
         self.limits = limits
         self.closing = False
+        self.stopped = False
         self.open_requests = 0
+        self.connections: set[ServerConnection] = set()
 
     async def serve(self, sock: Socket) -> None:
         """Serve one connection until it ends.
 
         :param sock: the accepted socket.
         """
-        await ServerConnection(self, sock).run()
+        connection = ServerConnection(self, sock)
+        self.connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self.connections.discard(connection)
+
+    async def stop(self) -> None:
+        """Start no further request, and end connections without one.
+
+        A request that arrives from now on is not read, so its caller
+        may send it elsewhere.
+        """
+        self.closing = self.stopped = True
+        for connection in list(self.connections):
+            await connection.wake()
 
 
 class RequestRejected(Exception):
@@ -308,7 +325,7 @@
         return limits.idle_timeout_s + IDLE_MARGIN_S
 
     async def _start_requests(self) -> None:
-        while len(self.open) < PIPELINE_DEPTH:
+        while len(self.open) < PIPELINE_DEPTH and not self.rules.stopped:
             request = self.parser.next_request()
             if request is None:
                 break
@@ -332,7 +349,7 @@
     async def _write_all(self) -> None:
         while True:
             while not self.open:
-                if self.finished or self.rules.closing:
+                if self.finished or self.rules.stopped:
                     await self._reject()
                     return
                 self.changed.clear()
@@ -392,5 +409,5 @@
         return True
 
     async def wake(self) -> None:
-        """Let the connection notice that the port is closing."""
+        """Let the connection notice that the port has stopped."""
         await self.changed.set()
--- a/carawayvale/gateway/tests/test_fleet.py
+++ b/carawayvale/gateway/tests/test_fleet.py
@@ -4,6 +4,7 @@
 import pytest
 
 from carawayvale.contracts.address import Address
+from carawayvale.gateway import daemon as daemon_module
 from carawayvale.gateway.tests.fleet import open_fleet
 from carawayvale.links.connections import ConnectionPool
 from carawayvale.links.connections import OutgoingCall
@@ -185,6 +186,46 @@
 
         play(scenario, instances=2)
 
+    def test_requests_until_the_last_moment_are_answered_or_not_run(
+        self, monkeypatch
+    ):
+        """The process ends only when its endpoints have answered.
+
+        Hunt on gitterwerk-lb, hunt-a28e-11: it ended while a request that
+        had come at the last moment was at its endpoint.
+        """
+        monkeypatch.setattr(daemon_module, "LOOKUP_TAIL_S", 0.3)
+
+        async def call_always(fleet, daemon, answers):
+            while True:
+                try:
+                    reply = await fleet.call(daemon)
+                except ConnectionError:
+                    return
+                answers.append(reply.head.status)
+                # A short pause, in which the instance seems idle.
+                await curio.sleep(0.03)
+
+        async def scenario(fleet):
+            first = fleet.daemons[0]
+            endpoints = fleet.endpoints.values()
+            for endpoint in endpoints:
+                endpoint.work_s = 0.1
+            answers = []
+            caller = await curio.spawn(
+                call_always, fleet, first, answers, daemon=True
+            )
+            await fleet.wait_until(lambda: len(answers) > 2)
+            before = len(answers)
+            await first.stop()
+            await caller.join()
+            assert len(answers) > before + 1
+            assert set(answers) == {200}
+            assert sum(len(e.runs) for e in endpoints) == len(answers)
+            assert not any(e.cancelled for e in endpoints)
+
+        play(scenario, instances=2)
+
     def test_a_caller_that_leaves_cancels_its_request(self):
         async def scenario(fleet):
             endpoint = fleet.endpoints["i-1"]
--- a/carawayvale/gateway/tests/test_http_port.py
+++ b/carawayvale/gateway/tests/test_http_port.py
@@ -171,6 +171,29 @@
         play(scenario)
 
 
+class TestStopping:
+    def test_a_stopped_port_closes_idle_connections(self):
+        async def scenario(port, client):
+            await wait_until(lambda: port.rules.connections)
+            await port.rules.stop()
+            assert await client.recv(65536) == b""
+
+        play(scenario)
+
+    def test_a_stopped_port_starts_nothing_more(self):
+        async def scenario(port, client):
+            await client.sendall(GET % 1)
+            await wait_until(lambda: port.started == ["/1"])
+            await port.rules.stop()
+            await client.sendall(GET % 2)
+            await curio.sleep(0.05)
+            await port.release("/1")
+            assert await read_bodies(client, 2) == [b"/1"]
+            assert port.started == ["/1"]
+
+        play(scenario)
+
+
 class TestSlowCallers:
     def test_a_slow_head_is_answered_408(self):
         async def scenario(port, client):
--- a/carawayvale/links/listener.py
+++ b/carawayvale/links/listener.py
@@ -56,6 +56,7 @@
         self.limit = limit
         self.ssl = ssl
         self.tasks: set[curio.Task] = set()
+        self.acceptor: curio.Task | None = None
 
     @property
     def address(self) -> Address:
@@ -66,12 +67,22 @@
     async def run(self) -> None:
         """Accept connections until cancelled, then end all tasks."""
         try:
-            await self._accept_all()
+            self.acceptor = await curio.spawn(self._accept_all, daemon=True)
+            await self.acceptor.wait()
+            await self.sock.close()
+            # The connections that were accepted go on.
+            await curio.Event().wait()
         finally:
+            await self.acceptor.cancel()
             await self.sock.close()
             for task in list(self.tasks):
                 await task.cancel(blocking=False)
 
+    async def stop(self) -> None:
+        """Accept no further connection; those that are open go on."""
+        if self.acceptor is not None:
+            await self.acceptor.cancel()
+
     async def _accept_all(self) -> None:
         while True:
             try:
