--- a/carawayvale/catalogue/mirror.py
+++ b/carawayvale/catalogue/mirror.py
@@ -95,15 +95,3 @@
         return tuple(
             item for item in self.items.values() if item.revision > revision
         )
-
-    def list_present(self, prefix: str) -> list[StoredItem]:
-        """List the keys that exist.
-
-        :param prefix: start of the keys.
-        :returns: the items.
-        """
-        return [
-            item
-            for key, item in self.items.items()
-            if item.value is not None and key.startswith(prefix)
-        ]
--- a/carawayvale/catalogue/records.py
+++ b/carawayvale/catalogue/records.py
@@ -155,13 +155,5 @@
     evacuated: frozenset[str] = frozenset()
     revision: int = 0
 
-    def list_service(self, service: str) -> list[Endpoint]:
-        """List the endpoints of a service.
-
-        :param service: name of the service.
-        :returns: its endpoints.
-        """
-        return [e for e in self.endpoints.values() if e.service == service]
-
 
 EMPTY_CATALOGUE = Catalogue()
--- a/carawayvale/catalogue/tests/test_keeper.py
+++ b/carawayvale/catalogue/tests/test_keeper.py
@@ -95,7 +95,7 @@
         mirror = Mirror()
         mirror.apply([StoredItem("a", 1, b"x"), StoredItem("a", 2, None)], 2)
         assert mirror.collect_since(1) == (StoredItem("a", 2, None),)
-        assert mirror.list_present("") == []
+        assert mirror.items["a"].value is None
 
 
 class TestEndpoints:
--- a/carawayvale/commands/run.py
+++ b/carawayvale/commands/run.py
@@ -15,17 +15,22 @@
 GC_THRESHOLD = 50_000
 
 Stop = Callable[[], Awaitable[None]]
+Reload = Callable[[], Awaitable[None]]
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class SignalReader:
-    """Turns SIGTERM and SIGINT into a call in the event loop."""
+    """Turns signals into calls in the event loop.
 
-    def __init__(self):
+    :param numbers: the signals.
+    """
+
+    def __init__(self, numbers: tuple[int, ...]):
         reader, self.writer = plain_socket.socketpair()
         self.writer.setblocking(False)
         self.reader = Socket(reader)
         signal.set_wakeup_fd(self.writer.fileno())
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in numbers:
             signal.signal(number, lambda *_: None)
 
     async def wait(self) -> int:
@@ -37,24 +42,38 @@
         return data[0]
 
 
-async def run_with_signals(run: Callable, stop: Stop) -> None:
+async def run_with_signals(
+    run: Callable, stop: Stop, reload: Reload | None = None
+) -> None:
     """Run a daemon; the first signal asks it to stop, the second ends it.
 
     :param run: runs the daemon until it is done.
     :param stop: asks it to stop.
+    :param reload: called at SIGHUP; without it SIGHUP ends the process.
     """
-    signals = SignalReader()
+    numbers = STOP_SIGNALS
+    if reload is not None:
+        numbers = (*STOP_SIGNALS, signal.SIGHUP)
+    signals = SignalReader(numbers)
     async with curio.TaskGroup(wait=any) as group:
         await group.spawn(run)
-        await group.spawn(_stop_on_signals, signals, stop)
+        await group.spawn(_follow_signals, signals, stop, reload)
     if group.completed.exception:
         raise group.completed.exception
 
 
-async def _stop_on_signals(signals: SignalReader, stop: Stop) -> None:
-    await signals.wait()
-    await stop()
-    await signals.wait()
+async def _follow_signals(
+    signals: SignalReader, stop: Stop, reload: Reload | None
+) -> None:
+    stops = 0
+    while stops < 2:
+        number = await signals.wait()
+        if number == signal.SIGHUP:
+            await reload()
+            continue
+        stops += 1
+        if stops == 1:
+            await stop()
 
 
 def raise_file_limit() -> None:
@@ -63,13 +82,16 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
 
 
-def run_daemon(run: Callable, stop: Stop) -> None:
+def run_daemon(
+    run: Callable, stop: Stop, reload: Reload | None = None
+) -> None:
     """Run a daemon in a new event loop.
 
     :param run: runs the daemon until it is done.
     :param stop: asks it to stop.
+    :param reload: called at SIGHUP, if the daemon can reload.
     """
     raise_file_limit()
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     gc.set_threshold(GC_THRESHOLD)
-    curio.run(run_with_signals, run, stop)
+    curio.run(run_with_signals, run, stop, reload)
--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -1,12 +1,14 @@
 """The tasks of one gateway instance, from start to planned stop."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import curio
 
 from carawayvale.catalogue.dialect import Dialect
 from carawayvale.catalogue.mirror import StoredItem
 from carawayvale.catalogue.source import Source
+from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import Clock
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.caller_port import CallerPort
@@ -129,7 +131,21 @@
             raise group.completed.exception
         log_event("gateway_stopped", instance=settings.name)
 
-    def _open(self, address, handle: Handler) -> Listener:
+    async def reload(self, settings: GatewaySettings) -> None:
+        """Take over changed settings, as far as a running process can.
+
+        :param settings: the new settings, already checked.
+        """
+        old = self.node.settings
+        merged = replace(old, bounds=settings.bounds, seeds=settings.seeds)
+        self.node.settings = self.settings = merged
+        log_event(
+            "settings_reloaded",
+            changed=merged != old,
+            needs_restart=merged != settings,
+        )
+
+    def _open(self, address: Address, handle: Handler) -> Listener:
         return Listener(open_listener(address), PortRules(handle).serve)
 
     async def stop(self) -> None:
@@ -147,10 +163,7 @@
             if not node.leaving:
                 await self._join()
         self._take_seeds()
-        for owned in list(node.owned.values()):
-            await owned.pump()
-            if not owned.is_usable:
-                await owned.wake_all()
+        await node.settle_owned()
         return told
 
     def _take_seeds(self) -> None:
@@ -185,6 +198,8 @@
         while True:
             await curio.sleep(TICK_S)
             self.node.refresh()
+            if self.node.released:
+                await self.node.settle_owned()
             now_s = read_boot_clock()
             for owned in list(self.node.owned.values()):
                 if owned.needs_check(now_s):
--- a/carawayvale/gateway/node.py
+++ b/carawayvale/gateway/node.py
@@ -9,6 +9,7 @@
 from carawayvale.catalogue.records import Catalogue
 from carawayvale.catalogue.records import EMPTY_CATALOGUE
 from carawayvale.catalogue.records import Endpoint
+from carawayvale.catalogue.records import Service
 from carawayvale.catalogue.source import Source
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import read_boot_clock
@@ -76,6 +77,7 @@
         self.by_service: dict[str, list[Endpoint]] = {}
         self.ownership: Ownership = EMPTY_OWNERSHIP
         self.owned: dict[str, OwnedEndpoint] = {}
+        self.released: list[OwnedEndpoint] = []
         self.peer_pools = ConnectionPools()
         self.budgets: dict[str, FleetRetryBudget] = {}
         self.shift = ShiftLimit(settings.bounds.max_shift)
@@ -142,13 +144,25 @@
             endpoint = self.catalogue.endpoints.get(name)
             service = self._find_service(endpoint)
             if endpoint is None or service is None:
-                owned.blocked = True
-                del self.owned[name]
+                owned.block(True, now_s)
+                self.released.append(self.owned.pop(name))
                 continue
             owned.update(endpoint, service, now_s)
-            owned.blocked = endpoint.domain in self.catalogue.evacuated
-
-    def _find_service(self, endpoint: Endpoint | None):
+            evacuated = endpoint.domain in self.catalogue.evacuated
+            owned.block(evacuated, now_s)
+
+    async def settle_owned(self) -> None:
+        """Let the requests at owned endpoints follow the catalogue."""
+        released, self.released = self.released, []
+        for owned in released:
+            await owned.wake_all()
+            await owned.close()
+        for owned in list(self.owned.values()):
+            await owned.pump()
+            if not owned.is_usable:
+                await owned.wake_all()
+
+    def _find_service(self, endpoint: Endpoint | None) -> Service | None:
         configuration = self.catalogue.configuration
         if endpoint is None or configuration is None:
             return None
--- a/carawayvale/gateway/owned.py
+++ b/carawayvale/gateway/owned.py
@@ -31,6 +31,10 @@
 # long; its entry lapses meanwhile if it is gone.
 MOVED_S = 5.0
 
+# An endpoint that may be used again is taken for cold for this long;
+# its next reports tell whether it is.
+RESUME_S = 2.5
+
 # A request is overdue when it takes this much longer than usual.
 OVERDUE_FACTOR = 4.0
 OVERDUE_S = 0.5
@@ -86,7 +90,6 @@
     :param dialect: names of headers.
     :param endpoint: the endpoint.
     :param service: its service.
-    :param fresh: whether requests of another owner may be under way.
     """
 
     def __init__(self, dialect: Dialect, endpoint: Endpoint, service: Service):
@@ -104,7 +107,9 @@
         self.moved_until_s = 0.0
         self.blocked = False
 
-    def update(self, endpoint: Endpoint, service: Service, now_s: float):
+    def update(
+        self, endpoint: Endpoint, service: Service, now_s: float
+    ) -> None:
         """Take over a changed entry.
 
         :param endpoint: the entry.
@@ -123,6 +128,19 @@
         self.queue.slots = endpoint.slots
         self.note_cold(endpoint.cold_s, now_s)
 
+    def block(self, blocked: bool, now_s: float) -> None:
+        """Stop using the endpoint, or use it again.
+
+        An endpoint that got nothing for a while may be cold, before its
+        reports say so.
+
+        :param blocked: whether it gets no requests.
+        :param now_s: the time.
+        """
+        if self.blocked and not blocked:
+            self.note_cold(min(self.service.cold_s, RESUME_S), now_s)
+        self.blocked = blocked
+
     def note_cold(self, cold_s: float, now_s: float) -> None:
         """Take over how long the endpoint stays cold.
 
--- a/carawayvale/gateway/tests/test_fleet.py
+++ b/carawayvale/gateway/tests/test_fleet.py
@@ -1,5 +1,7 @@
 """Tests of whole requests through instances, store and endpoints."""
 
+from dataclasses import replace
+
 import curio
 import pytest
 
@@ -165,6 +167,58 @@
 
         play(scenario)
 
+    def test_waiting_requests_leave_an_endpoint_that_is_gone(self):
+        async def scenario(fleet):
+            daemon = fleet.daemons[0]
+            for endpoint in fleet.endpoints.values():
+                endpoint.work_s = 0.5
+            entry = fleet.endpoints["desk-i-1"].entry
+            entry["info"]["slots"] = 1
+            fleet.report("desk-i-1")
+            node = daemon.node
+            await fleet.wait_until(
+                lambda: node.catalogue.endpoints["desk-i-1"].slots == 1
+            )
+            calls = [
+                await curio.spawn(
+                    lambda: fleet.call(daemon, **DESK), daemon=True
+                )
+                for _ in range(2)
+            ]
+            await fleet.wait_until(lambda: daemon.callers.open_requests == 2)
+            waiting = node.owned["desk-i-1"].queue
+            await fleet.wait_until(lambda: waiting.load)
+            fleet.store.remove("servers/desk-i-1")
+            replies = [await call.join() for call in calls]
+            found = sorted(reply.head.status for reply in replies)
+            assert found == [200, 503]
+            assert not waiting.waiting
+
+        play(scenario)
+
+    def test_an_endpoint_is_taken_for_cold_after_an_evacuation(self):
+        async def scenario(fleet):
+            node = fleet.daemons[0].node
+            assert (await fleet.call(fleet.daemons[0])).head.status == 200
+            fleet.store.put("op/evacuate/zrh-a", {})
+            await fleet.wait_until(lambda: node.catalogue.evacuated)
+            fleet.store.remove("op/evacuate/zrh-a")
+            await fleet.wait_until(lambda: not node.catalogue.evacuated)
+            assert node.owned["i-1"].queue.cold is not None
+
+        play(scenario)
+
+    def test_changed_settings_hold_as_far_as_they_can(self):
+        async def scenario(fleet):
+            daemon = fleet.daemons[0]
+            old = daemon.settings
+            bounds = replace(old.bounds, grace_s=9.0)
+            await daemon.reload(replace(old, bounds=bounds, name="other"))
+            assert daemon.node.settings.bounds.grace_s == 9.0
+            assert daemon.node.settings.name == old.name
+
+        play(scenario)
+
     def test_a_planned_stop_cuts_no_request(self):
         async def scenario(fleet):
             first, second = fleet.daemons
--- a/carawayvale/gateway/upstream.py
+++ b/carawayvale/gateway/upstream.py
@@ -59,9 +59,6 @@
     LATE = "late"
 
 
-SENT = frozenset({Outcome.NOT_RUN, Outcome.FAILED, Outcome.LATE})
-
-
 @dataclass(frozen=True)
 class Result:
     """The end of one attempt.
--- a/carawayvale/platform/__main__.py
+++ b/carawayvale/platform/__main__.py
@@ -10,6 +10,7 @@
 from carawayvale.platform.settings import find_settings
 from carawayvale.platform.settings import load_settings
 from carawayvale.platform.source import PlatformSource
+from carawayvale.telemetry.logs import log_event
 from carawayvale.telemetry.logs import start_logs
 from carawayvale.telemetry.sinks import BoundedSink
 
@@ -31,7 +32,15 @@
     key = os.environ.get(KEY_VARIABLE, "").encode()
     source = PlatformSource(settings.regions)
     daemon = GatewayDaemon(settings, DIALECT, source, key)
-    run_daemon(daemon.run, daemon.stop)
+
+    async def reload() -> None:
+        try:
+            await daemon.reload(load_settings(find_settings()))
+        except InvalidInput as error:
+            for finding in error.findings:
+                log_event("settings_refused", "ERROR", finding=finding)
+
+    run_daemon(daemon.run, daemon.stop, reload)
     return 0
 
 
--- a/carawayvale/platform/configuration.py
+++ b/carawayvale/platform/configuration.py
@@ -21,6 +21,9 @@
 EVACUATE_PREFIX = "op/evacuate/"
 NUMBER = (int, float)
 
+# What a value of another type or form raises while it is decoded.
+UNREADABLE = (ValueError, TypeError, AttributeError, KeyError)
+
 # Only these may run more than once; any other kind may not.
 IDEMPOTENT_KINDS = frozenset({"safe"})
 
@@ -50,7 +53,7 @@
     limits = Limits()
     try:
         limits = _decode_limits(table.get("limits", {}))
-    except ValueError as error:
+    except UNREADABLE as error:
         findings.append(_find(item.key, "limits", str(error)))
     if findings:
         raise InvalidInput(findings)
@@ -74,7 +77,7 @@
     for number, row in enumerate(rows):
         try:
             decoded.append(decode(row))
-        except ValueError as error:
+        except UNREADABLE as error:
             place = f"{section}:{row.get('name', number)}"
             findings.append(_find(source, place, str(error)))
     return decoded, findings
@@ -90,20 +93,26 @@
     ]
 
 
+def _read_optional(
+    row: dict[str, Any], name: str, kind: type, default: Any
+) -> Any:
+    return read_field(row, name, kind) if name in row else default
+
+
 def _decode_service(row: dict[str, Any]) -> Service:
     return Service(
         name=read_field(row, "name", str),
-        health_path=row.get("health_path", "/health"),
-        max_connections=row.get("max_conns", 0),
+        health_path=_read_optional(row, "health_path", str, "/health"),
+        max_connections=_read_optional(row, "max_conns", int, 0),
         cold_s=parse_duration(row.get("cold", "0s")),
         cold_rate=float(row.get("cold_per_s", 0)),
     )
 
 
 def _decode_route(row: dict[str, Any]) -> Route:
-    attempts = row.get("max_attempts", 1)
-    if not isinstance(attempts, int) or attempts < 1:
-        raise ValueError(f"max_attempts must be at least 1, not {attempts!r}")
+    attempts = _read_optional(row, "max_attempts", int, 1)
+    if attempts < 1:
+        raise ValueError(f"max_attempts must be at least 1, not {attempts}")
     prefix = read_field(row, "prefix", str)
     if not (prefix.startswith("/") and prefix.endswith("/")):
         raise ValueError(f"prefix {prefix!r} needs a slash at both ends")
@@ -117,14 +126,21 @@
         objective_s=parse_duration(row["target_latency"])
         if "target_latency" in row
         else timeout_s,
-        rank=row.get("priority", 0),
+        rank=_read_optional(row, "priority", int, 0),
         max_attempts=attempts,
         parts=_decode_parts(row),
-        homes=frozenset(row.get("allowed_regions") or ()),
-        sticky=bool(row.get("session_affinity", False)),
+        homes=_read_homes(row),
+        sticky=_read_optional(row, "session_affinity", bool, False),
     )
 
 
+def _read_homes(row: dict[str, Any]) -> frozenset[str]:
+    regions = _read_optional(row, "allowed_regions", list, [])
+    if not all(isinstance(region, str) for region in regions):
+        raise ValueError(f"allowed_regions has the wrong type: {regions!r}")
+    return frozenset(regions)
+
+
 def _decode_parts(row: dict[str, Any]) -> tuple[Part, ...]:
     split = row.get("traffic_split")
     if not split:
@@ -146,8 +162,12 @@
 def _decode_limits(table: dict[str, Any]) -> Limits:
     known = Limits()
     return Limits(
-        header_bytes=table.get("max_header_bytes", known.header_bytes),
-        body_bytes=table.get("max_body_bytes", known.body_bytes),
+        header_bytes=_read_optional(
+            table, "max_header_bytes", int, known.header_bytes
+        ),
+        body_bytes=_read_optional(
+            table, "max_body_bytes", int, known.body_bytes
+        ),
         header_timeout_s=parse_duration(table.get("header_timeout", "3s")),
         idle_timeout_s=parse_duration(table.get("idle_timeout", "15s")),
     )
--- a/carawayvale/platform/store_client.py
+++ b/carawayvale/platform/store_client.py
@@ -14,6 +14,7 @@
 from carawayvale.links.connections import OutgoingCall
 from carawayvale.links.http import ConnectionBroken
 from carawayvale.platform.units import parse_duration
+from carawayvale.platform.units import read_field
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
@@ -101,13 +102,13 @@
             if after:
                 target += f"&after={quote(after, safe='')}"
             page = await self._expect_ok("GET", target)
-            revision = page["store_revision"]
+            revision = read_answer(page, "store_revision", int)
             since = revision if since is None else since
-            for row in page["items"]:
+            for row in read_answer(page, "items", list):
                 item = decode_item(row)
                 items[item.key] = item
                 after = item.key
-            if not page["has_more"]:
+            if not read_answer(page, "has_more", bool):
                 # A change between two pages may be missing, so a watch
                 # has to go on from the start of the reading.
                 return Reading(items, since, since)
@@ -133,8 +134,9 @@
             raise HistoryGone(f"changes after {after} are gone")
         if status != HTTP_OK:
             raise StoreFailed(f"{self.address}: watch: status {status}")
-        items = tuple(decode_item(row) for row in answer["events"])
-        return Changes(items, answer["store_revision"])
+        events = read_answer(answer, "events", list)
+        items = tuple(decode_item(row) for row in events)
+        return Changes(items, read_answer(answer, "store_revision", int))
 
     async def open_lease(self, ttl_s: float) -> int:
         """Open a lease.
@@ -145,7 +147,7 @@
         """
         body = {"ttl_time": f"{int(ttl_s * MS_PER_S)}ms"}
         answer = await self._expect_ok("POST", "/kv-lease", body)
-        return answer["lease"]
+        return read_answer(answer, "lease", int)
 
     async def renew_lease(self, lease: int) -> float:
         """Renew a lease.
@@ -160,7 +162,7 @@
             raise LeaseEnded(str(lease))
         if status != HTTP_OK:
             raise StoreFailed(f"{self.address}: renewal: status {status}")
-        return parse_duration(answer["ttl_time"])
+        return parse_duration(read_answer(answer, "ttl_time", str))
 
     async def write(self, write: Write, expected: int | None = None) -> bool:
         """Write a value.
@@ -226,7 +228,22 @@
             raise StoreFailed(f"{self.address}: {error}") from None
 
 
-def decode_item(row: dict[str, Any]) -> StoredItem:
+def read_answer(answer: Any, name: str, kind: type) -> Any:
+    """Read a field of an answer.
+
+    :param answer: the decoded answer.
+    :param name: name of the field.
+    :param kind: its type.
+    :returns: the value.
+    :raises StoreFailed: if it is missing or of another type.
+    """
+    try:
+        return read_field(answer, name, kind)
+    except ValueError as error:
+        raise StoreFailed(f"malformed answer: {error}") from None
+
+
+def decode_item(row: Any) -> StoredItem:
     """Decode an item or a deletion.
 
     :param row: the table that the store sent.
@@ -234,9 +251,8 @@
         no reader accepts.
     :raises StoreFailed: if key or revision are missing.
     """
-    key, revision = row.get("key"), row.get("rev")
-    if not isinstance(key, str) or not isinstance(revision, int):
-        raise StoreFailed(f"item without key or revision: {row!r:.100}")
+    key = read_answer(row, "key", str)
+    revision = read_answer(row, "rev", int)
     if row.get("tombstone"):
         return StoredItem(key, revision, None)
     try:
--- a/carawayvale/platform/tests/test_decoding.py
+++ b/carawayvale/platform/tests/test_decoding.py
@@ -2,11 +2,13 @@
 
 import copy
 
+import curio
 import pytest
 
 from carawayvale.catalogue.records import EndpointState
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.findings import InvalidInput
+from carawayvale.gateway.http_port import Answer
 from carawayvale.platform.configuration import decode_configuration
 from carawayvale.platform.entries import decode_endpoint
 from carawayvale.platform.lookups import decode_lookup
@@ -16,12 +18,14 @@
 from carawayvale.platform.source import encode_instance
 from carawayvale.platform.source import PlatformSource
 from carawayvale.platform.store_client import decode_item
+from carawayvale.platform.store_client import PlatformStore
 from carawayvale.platform.store_client import StoreFailed
 from carawayvale.platform.tests.examples import CONFIGURATION
 from carawayvale.platform.tests.examples import ENTRY
 from carawayvale.platform.tests.examples import make_item
 from carawayvale.platform.tests.examples import REGIONS
 from carawayvale.platform.tests.examples import SETTINGS
+from carawayvale.platform.tests.standins import open_port
 from carawayvale.platform.units import parse_duration
 
 
@@ -116,6 +120,17 @@
         found = decode_configuration(make_item("op/config", table))
         assert not found.routes[1].idempotent
 
+    @pytest.mark.parametrize("column", range(12))
+    @pytest.mark.parametrize("value", [7.5, [1], {"a": 1}, True])
+    def test_a_field_of_another_type_is_a_finding(self, column, value):
+        table = copy.deepcopy(CONFIGURATION)
+        table["routes"]["rows"][0][column] = value
+        if column == 9 and value is True:
+            decode_configuration(make_item("op/config", table))
+            return
+        with pytest.raises(InvalidInput, match="routes:"):
+            decode_configuration(make_item("op/config", table))
+
     @pytest.mark.parametrize("value", [b"", b"[1]", b'{"version": 1}'])
     def test_refuses_what_is_no_configuration(self, value):
         with pytest.raises(InvalidInput):
@@ -175,6 +190,34 @@
         assert source.decode(own).peers == peers
 
 
+class TestStoreAnswers:
+    """Answers that are no answers of a store are a failure, not a crash."""
+
+    @pytest.mark.parametrize(
+        "body",
+        [b"", b"[]", b"{}", b'{"items": 1, "store_revision": 1}', b"\xff"],
+    )
+    def test_malformed_answers_count_as_no_answer(self, body):
+        async def handle(request):
+            return Answer(200, body=body)
+
+        async def run():
+            listener = open_port(handle)
+            task = await curio.spawn(listener.run, daemon=True)
+            store = PlatformStore(listener.address, 5.0)
+            for call in (
+                store.read_all("a"),
+                store.watch("a", 1, 0.1),
+                store.open_lease(5.0),
+                store.renew_lease(1),
+            ):
+                with pytest.raises(StoreFailed):
+                    await call
+            await task.cancel()
+
+        curio.run(run)
+
+
 class TestLookups:
     def test_reads_a_question_and_writes_the_answer(self):
         lookup = decode_lookup("name=Hulo.example&region=zurich&zone=zrh-a")
