--- /dev/null
+++ b/carawayvale/commands/tests/test_run.py
@@ -0,0 +1,39 @@
+"""Tests of how a daemon follows signals."""
+
+import os
+import signal
+
+import curio
+
+from carawayvale.commands.run import run_with_signals
+
+
+class TestSignals:
+    def test_sighup_reloads_and_the_first_sigterm_stops(self):
+        seen = []
+        stopped = curio.Event()
+
+        async def run():
+            for number in (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM):
+                os.kill(os.getpid(), number)
+                await curio.sleep(0.05)
+            await stopped.wait()
+
+        async def stop():
+            seen.append("stop")
+            await stopped.set()
+
+        async def reload():
+            seen.append("reload")
+
+        kept = {
+            n: signal.getsignal(n)
+            for n in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+        }
+        try:
+            curio.run(run_with_signals, run, stop, reload)
+        finally:
+            signal.set_wakeup_fd(-1)
+            for number, handler in kept.items():
+                signal.signal(number, handler)
+        assert seen == ["reload", "reload", "stop"]
--- a/carawayvale/gateway/tests/test_fleet.py
+++ b/carawayvale/gateway/tests/test_fleet.py
@@ -171,7 +171,7 @@
         async def scenario(fleet):
             daemon = fleet.daemons[0]
             for endpoint in fleet.endpoints.values():
-                endpoint.work_s = 0.5
+                endpoint.work_s = 1.0
             entry = fleet.endpoints["desk-i-1"].entry
             entry["info"]["slots"] = 1
             fleet.report("desk-i-1")
@@ -189,8 +189,11 @@
             waiting = node.owned["desk-i-1"].queue
             await fleet.wait_until(lambda: waiting.load)
             fleet.store.remove("servers/desk-i-1")
-            replies = [await call.join() for call in calls]
-            found = sorted(reply.head.status for reply in replies)
+            await fleet.wait_until(lambda: any(c.terminated for c in calls))
+            ended = [call for call in calls if call.terminated]
+            # The waiting request is refused while the other still runs.
+            assert [c.result.head.status for c in ended] == [503]
+            found = sorted([(await c.join()).head.status for c in calls])
             assert found == [200, 503]
             assert not waiting.waiting
 
