Drop what nothing uses and name what was a bare number

Read from the whole change: a time that was only written, a setting that nothing read, a loop over the keys of its own dictionary, status codes and limits without a name, a method named against its meaning, and broken connections of callers that left no log line. No decision changes; linters and the 194 tests of gateway, platform, catalogue and steering pass.

--- a/carawayvale/catalogue/keeper.py
+++ b/carawayvale/catalogue/keeper.py
@@ -38,7 +38,7 @@
     started_ms: int
     sequence: int
 
-    def is_before(self, endpoint: Endpoint) -> bool:
+    def admits(self, endpoint: Endpoint) -> bool:
         """Tell whether a report is at least as new as this one.
 
         :param endpoint: the report.
@@ -158,7 +158,7 @@
         if new is None:
             return self._lose_endpoint(reading.name, now_s)
         life = self.lives.get(new.name)
-        if life is not None and not life.is_before(new):
+        if life is not None and not life.admits(new):
             log_event(
                 "late_report_ignored",
                 endpoint=new.name,
--- a/carawayvale/gateway/caller_port.py
+++ b/carawayvale/gateway/caller_port.py
@@ -33,6 +33,9 @@
 REMOTE_TRIES = 2
 LATE_TRIES = 3
 
+# Owners of one endpoint that are asked while the first is silent.
+OWNER_TRIES = 2
+
 MIN_RETRY_S = 0.05
 MAX_RETRY_S = 2.0
 NO_CONFIGURATION_RETRY_S = 0.3
@@ -205,7 +208,7 @@
         self, flight: Flight, endpoint: Endpoint, order: Order
     ) -> Result | None:
         """Send the request to the owner, or to the next if it is silent."""
-        for owner in self.node.list_owners(endpoint)[:2]:
+        for owner in self.node.list_owners(endpoint)[:OWNER_TRIES]:
             try:
                 return await serve_at(self.node, owner, order, endpoint.name)
             except OwnerUnreachable as error:
--- a/carawayvale/gateway/http_port.py
+++ b/carawayvale/gateway/http_port.py
@@ -24,11 +24,15 @@
 # Requests of one connection that are served at the same time.
 PIPELINE_DEPTH = 16
 
+# How often a connection with that many looks for room again.
+FULL_POLL_S = 0.005
+
 # Idle connections of callers are kept a little longer than promised.
 IDLE_MARGIN_S = 1.0
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 HTTP_TIMEOUT = 408
+HTTP_TOO_LARGE = 413
 
 
 @dataclass(frozen=True)
@@ -210,7 +214,7 @@
     def _add(self, data: bytes) -> None:
         self.size += len(data)
         if self.size > self.limits.body_bytes:
-            raise RequestRejected(413)
+            raise RequestRejected(HTTP_TOO_LARGE)
         self.pieces.append(data)
 
     def _finish(self) -> Request:
@@ -278,7 +282,6 @@
         self.changed = curio.Event()
         self.finished = False
         self.rejected = 0
-        self.idle_since_s = read_boot_clock()
 
     async def run(self) -> None:
         """Serve requests until either side ends the connection."""
@@ -301,7 +304,7 @@
             while not self.finished:
                 await self._start_requests()
                 if len(self.open) >= PIPELINE_DEPTH:
-                    await curio.sleep(0.005)
+                    await curio.sleep(FULL_POLL_S)
                     continue
                 data = await curio.timeout_after(
                     self._find_timeout(), self.sock.recv, READ_BYTES
@@ -313,8 +316,9 @@
             self.rejected = rejected.status
         except curio.TaskTimeout:
             self.rejected = 0 if self.parser.is_idle else HTTP_TIMEOUT
-        except OSError:
-            pass
+        except OSError as error:
+            # A caller may break off at any time; its requests end with it.
+            log_event("caller_gone", "DEBUG", cause=str(error))
         self.finished = True
         await self.changed.set()
 
@@ -404,7 +408,8 @@
     async def _send(self, data: bytes) -> bool:
         try:
             await self.sock.sendall(data)
-        except OSError:
+        except OSError as error:
+            log_event("caller_gone", "DEBUG", cause=str(error))
             return False
         return True
 
--- a/carawayvale/gateway/owned.py
+++ b/carawayvale/gateway/owned.py
@@ -10,6 +10,7 @@
 from carawayvale.catalogue.records import Service
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.http_port import Request
+from carawayvale.gateway.upstream import HTTP_MISDIRECTED
 from carawayvale.gateway.upstream import Outcome
 from carawayvale.gateway.upstream import Result
 from carawayvale.gateway.upstream import Upstream
@@ -41,6 +42,9 @@
 
 HTTP_SERVER_ERROR = 500
 
+# The least time that a waiting request sleeps.
+MIN_SLEEP_S = 0.001
+
 # An endpoint's own end at the deadline says nothing of its health.
 TIMED_OUT = 504
 
@@ -102,7 +106,6 @@
         self.waiters: dict[Job, Waiter] = {}
         self.sending: dict[Job, Request] = {}
         self.cold_until_s = 0.0
-        self.answered_s = 0.0
         self.checked_s = 0.0
         self.moved_until_s = 0.0
         self.blocked = False
@@ -216,7 +219,7 @@
             due_s = self.queue.find_next_event(now_s)
             if due_s is not None:
                 wait_s = min(wait_s, due_s - now_s)
-            async with curio.ignore_after(max(0.001, wait_s)):
+            async with curio.ignore_after(max(MIN_SLEEP_S, wait_s)):
                 await waiter.event.wait()
             waiter.event.clear()
             await self.pump()
@@ -264,9 +267,10 @@
 
     def _learn(self, result: Result) -> None:
         now_s = read_boot_clock()
-        if result.outcome is Outcome.ANSWERED:
-            self.answered_s = now_s
-        if result.outcome is Outcome.NOT_RUN and result.status == 421:
+        if (
+            result.outcome is Outcome.NOT_RUN
+            and result.status == HTTP_MISDIRECTED
+        ):
             self.moved_until_s = now_s + MOVED_S
             log_event("endpoint_moved", endpoint=self.endpoint.name)
         usable = self.health.is_usable
@@ -329,15 +333,13 @@
             )
             await self.upstream.pool.close()
             await self.wake_all()
-            self._abort(list(self.sending))
+            self._abort_all()
             return
         await sock.close()
 
-    def _abort(self, jobs: list[Job]) -> None:
-        for job in jobs:
-            request = self.sending.get(job)
-            if request is not None:
-                self.upstream.abort(request)
+    def _abort_all(self) -> None:
+        for request in self.sending.values():
+            self.upstream.abort(request)
 
     async def _check_healthy(self) -> None:
         name = self.endpoint.name.encode("latin-1")
--- a/carawayvale/gateway/upstream.py
+++ b/carawayvale/gateway/upstream.py
@@ -17,8 +17,10 @@
 
 MS_PER_S = 1000.0
 CONNECT_TIMEOUT_S = 0.5
+
+# Another endpoint answers at the address; the request was not run.
+HTTP_MISDIRECTED = 421
 MAX_ANSWER_BYTES = 1 << 26
-MAX_REUSE_IDLE_S = 4.0
 
 # An endpoint answers at its deadline by itself; this is added for the
 # way of that answer.
@@ -179,7 +181,10 @@
     ) -> Result:
         """Tell whether an answer belongs to the request and is whole."""
         dialect = self.dialect
-        if head.find(dialect.not_run) is not None or head.status == 421:
+        if (
+            head.find(dialect.not_run) is not None
+            or head.status == HTTP_MISDIRECTED
+        ):
             return Result(
                 Outcome.NOT_RUN,
                 status=head.status,
