Estimate service times of requests without an object apart

Cause: requests that concern no object (a quarter of those at some endpoints) need about 2 ms. They were counted as requests for new objects and pulled that mean from 0.63 s to a few milliseconds, so owners took on requests that could not be in time and held others up with them.

Change: three means; a new object that took as little as a known one was known all the same (a new owner), a known one that took as long as a new one after many others was forgotten, and the number of objects that the endpoint keeps is learned from that. An owner that refuses tells whether it is busy, or only this object is slow there; only the first is remembered by the instance that asked.

--- a/carawayvale/gateway/caller_port.py
+++ b/carawayvale/gateway/caller_port.py
@@ -192,7 +192,8 @@
                 continue
             if result.outcome is Outcome.FULL:
                 flight.full[endpoint.name] = result.finish_s
-                node.note_full(endpoint, result.finish_s)
+                if result.busy:
+                    node.note_full(endpoint, result.finish_s)
                 continue
             if result.outcome in (Outcome.UNUSABLE, Outcome.UNSENT):
                 continue
--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -127,6 +127,7 @@
         result.status,
         int(result.finish_s * MS_PER_S),
         int(result.failing),
+        int(result.busy),
         cause.replace("\n", " ")[:MAX_CAUSE],
     )
     value = SEPARATOR.join(map(str, fields)).encode("ascii")
@@ -145,8 +146,8 @@
     :raises ValueError: if the header is missing or malformed.
     """
     value = find_header(headers, RESULT) or b""
-    fields = value.decode("latin-1").split(SEPARATOR, 4)
-    if len(fields) != 5:
+    fields = value.decode("latin-1").split(SEPARATOR, 5)
+    if len(fields) != 6:
         raise ValueError(f"{RESULT.decode()} has {len(fields)} fields")
     kept = drop_own_headers(tuple(strip_hop_headers(list(headers))))
     return Result(
@@ -155,8 +156,9 @@
         int(fields[1]),
         kept,
         body,
-        fields[4],
+        fields[5],
         bool(int(fields[3])),
+        bool(int(fields[4])),
     )
 
 
--- a/carawayvale/gateway/owned.py
+++ b/carawayvale/gateway/owned.py
@@ -194,7 +194,7 @@
         )
         refusal = self.queue.offer(job, now_s)
         if refusal is not None:
-            return Result(Outcome.FULL, refusal.finish_s)
+            return Result(Outcome.FULL, refusal.finish_s, busy=refusal.busy)
         served = False
         try:
             if not await self._await_slot(job):
--- a/carawayvale/gateway/upstream.py
+++ b/carawayvale/gateway/upstream.py
@@ -72,6 +72,8 @@
     :param body: its body.
     :param cause: words for the log.
     :param failing: whether the endpoint fails many requests lately.
+    :param busy: for FULL, whether any other request would be refused
+        as well.
     """
 
     outcome: Outcome
@@ -81,6 +83,7 @@
     body: bytes = b""
     cause: str = ""
     failing: bool = False
+    busy: bool = True
 
 
 def strip_hop_headers(headers: Headers) -> Headers:
--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -3,7 +3,6 @@
 from carawayvale.steering.admission import EndpointQueue
 from carawayvale.steering.admission import Job
 from carawayvale.steering.admission import Refusal
-from carawayvale.steering.admission import ServiceTimes
 from carawayvale.steering.health import EndpointHealth
 from carawayvale.steering.health import Evidence
 from carawayvale.steering.placing import order_endpoints
@@ -14,6 +13,7 @@
 from carawayvale.steering.rates import WindowCounter
 from carawayvale.steering.routing import choose_part
 from carawayvale.steering.routing import RouteTable
+from carawayvale.steering.service_times import ServiceTimes
 
 __all__ = (
     "choose_part",
--- a/carawayvale/steering/admission.py
+++ b/carawayvale/steering/admission.py
@@ -6,19 +6,16 @@
 its limit. A request that cannot be served is refused at once.
 """
 
-from collections import OrderedDict
 from dataclasses import dataclass
-from dataclasses import field
 import heapq
 
 from carawayvale.steering.rates import ColdLimit
 from carawayvale.steering.rates import WindowCounter
+from carawayvale.steering.service_times import ServiceTimes
 
 # Before the first answer, a request is taken to need this part of its
 # objective.
 FIRST_PART = 0.5
-SERVICE_WEIGHT = 0.2
-WARM_OBJECTS = 256
 
 # A late request is overtaken by those in time that arrive after it, so
 # its estimated wait may be this part of the time that it can wait.
@@ -50,6 +47,7 @@
     service_s: float = 0.0
     late: bool = False
     known_object: bool = False
+    depth: int = 0
 
 
 @dataclass(frozen=True)
@@ -57,64 +55,12 @@
     """Why a job is not admitted.
 
     :param finish_s: seconds until it would be answered.
+    :param busy: whether a request for a known object would be refused
+        too.
     """
 
     finish_s: float
-
-
-@dataclass
-class ServiceTimes:
-    """Mean service times of an endpoint, for known and new objects."""
-
-    known_s: float = 0.0
-    new_s: float = 0.0
-    objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
-
-    def knows(self, key: str) -> bool:
-        """Tell whether the endpoint handled an object lately.
-
-        :param key: the object.
-        :returns: whether it did.
-        """
-        return key in self.objects
-
-    def remember(self, key: str) -> None:
-        """Record that the endpoint handles an object.
-
-        :param key: the object.
-        """
-        self.objects[key] = None
-        self.objects.move_to_end(key)
-        if len(self.objects) > WARM_OBJECTS:
-            self.objects.popitem(last=False)
-
-    def estimate(self, known: bool) -> float:
-        """Estimate a service time.
-
-        :param known: whether the endpoint knows the object.
-        :returns: seconds; 0 without any sample.
-        """
-        first, second = self.known_s, self.new_s
-        if not known:
-            first, second = second, first
-        return first or second
-
-    def record(self, known: bool, took_s: float) -> None:
-        """Record a service time.
-
-        :param known: whether the endpoint knew the object.
-        :param took_s: seconds.
-        """
-        if known:
-            self.known_s = _blend(self.known_s, took_s)
-        else:
-            self.new_s = _blend(self.new_s, took_s)
-
-
-def _blend(mean_s: float, sample_s: float) -> float:
-    if not mean_s:
-        return sample_s
-    return mean_s + SERVICE_WEIGHT * (sample_s - mean_s)
+    busy: bool = True
 
 
 class EndpointQueue:
@@ -146,16 +92,13 @@
         :returns: None if it is queued.
         """
         job.arrived_s = now_s
-        job.known_object = self.times.knows(job.key)
-        job.service_s = self.times.estimate(job.known_object)
-        if not job.service_s:
-            job.service_s = FIRST_PART * max(0.0, job.objective_s - now_s)
+        self._judge(job, now_s)
         finish_s = self._simulate(job, now_s, False)
         if finish_s <= job.objective_s:
             self.waiting.append(job)
             return None
         if not job.may_be_late:
-            return Refusal(finish_s - now_s)
+            return Refusal(finish_s - now_s, self._is_busy(job, finish_s))
         job.late = True
         finish_s = self._simulate(job, now_s, True)
         if not self._has_late_room(job, finish_s, now_s):
@@ -163,6 +106,17 @@
         self.waiting.append(job)
         return None
 
+    def _judge(self, job: Job, now_s: float) -> None:
+        job.known_object = self.times.knows(job.key)
+        job.service_s = self.times.estimate(job.key)
+        if not job.service_s:
+            job.service_s = FIRST_PART * max(0.0, job.objective_s - now_s)
+
+    def _is_busy(self, job: Job, finish_s: float) -> bool:
+        known_s = self.times.known_s or job.service_s
+        start_s = finish_s - job.service_s
+        return start_s + min(known_s, job.service_s) > job.objective_s
+
     def _has_late_room(self, job: Job, finish_s: float, now_s: float) -> bool:
         """Tell whether a late request would start early enough."""
         if finish_s > job.limit_s:
@@ -212,13 +166,14 @@
         job = min(self.waiting, key=_order)
         self.waiting.remove(job)
         self.running.add(job)
+        self._judge(job, now_s)
         job.started_s = now_s
         if job.late:
             self.late_starts.add(now_s)
         if self.cold is not None:
             self.cold.record_send(now_s)
         if job.key:
-            self.times.remember(job.key)
+            job.depth = self.times.remember(job.key, now_s)
         return job
 
     def drop_hopeless(self, now_s: float) -> list[Job]:
@@ -263,7 +218,8 @@
         """
         self.running.discard(job)
         if served:
-            self.times.record(job.known_object, now_s - job.started_s)
+            took_s = now_s - job.started_s
+            self.times.record(job.key, job.known_object, took_s, job.depth)
 
     def find_next_event(self, now_s: float) -> float | None:
         """Find when a waiting job may start without an event.
--- a/carawayvale/steering/tests/test_admission.py
+++ b/carawayvale/steering/tests/test_admission.py
@@ -106,7 +106,7 @@
         queue = make_queue(slots=1)
         queue.times.known_s, queue.times.new_s = 0.1, 0.5
         assert queue.offer(make_job(0.0), 0.0) is not None
-        queue.times.remember("k")
+        queue.times.remember("k", 0.0)
         assert queue.offer(make_job(0.0), 0.0) is None
 
 
