Let the first choice of an object learn it, and ask first choices elsewhere

Cause: on these deployments a request for an object that an endpoint does not know needs longer than its objective, so no endpoint was in time for it; it was asked of up to six owners and then queued late at the one that would end first, which scattered the objects. Other regions were asked at the two best-placed endpoints, of which the second mostly did not know the object.

Change: the owner of an object's first choice takes it on to learn it, behind requests in time and before late ones, if it keeps few enough objects; other regions are asked at the endpoint that keeps the object for their own callers.

Tests: TestNewObjects, TestPlacing.

--- a/carawayvale/gateway/caller_port.py
+++ b/carawayvale/gateway/caller_port.py
@@ -16,6 +16,7 @@
 from carawayvale.gateway.owned import Order
 from carawayvale.gateway.upstream import Outcome
 from carawayvale.gateway.upstream import Result
+from carawayvale.steering.placing import list_first_choices
 from carawayvale.steering.placing import order_endpoints
 from carawayvale.steering.routing import choose_part
 from carawayvale.telemetry.logs import log_event
@@ -124,20 +125,21 @@
             route.idempotent,
             arrived_s + route.objective_s - CALLER_WAY_S,
             arrived_s + left_s,
-            False,
         )
 
     async def _run(self, flight: Flight) -> Result | None:
         local, remote = self._list_candidates(flight)
         remote_first = self.node.shift.demands(read_boot_clock())
-        groups = [local[:LOCAL_TRIES], remote[:REMOTE_TRIES]]
+        elsewhere = list_first_choices(remote)
+        groups = [local[:LOCAL_TRIES], elsewhere[:REMOTE_TRIES]]
         if remote_first:
             groups.reverse()
+        flight.order = replace(flight.order, may_learn=True)
         for group in groups:
             result = await self._try_all(flight, group, flight.order)
             if result is not None or flight.over:
                 return result
-        late = replace(flight.order, may_be_late=True)
+        late = replace(flight.order, may_be_late=True, may_learn=False)
         candidates = self._order_late(flight, local, remote)
         return await self._try_all(flight, candidates[:LATE_TRIES], late)
 
@@ -181,6 +183,7 @@
             finish_s = node.find_full(endpoint, now_s)
             if finish_s is not None and not order.may_be_late:
                 flight.full[endpoint.name] = finish_s
+                order = flight.order = replace(order, may_learn=False)
                 continue
             away = endpoint.region != node.settings.region
             if away and not node.shift.allows(now_s):
@@ -191,6 +194,8 @@
             if result is None:
                 continue
             if result.outcome is Outcome.FULL:
+                # Only the first choice is to keep the object.
+                order = flight.order = replace(order, may_learn=False)
                 flight.full[endpoint.name] = result.finish_s
                 if result.busy:
                     node.note_full(endpoint, result.finish_s)
--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -66,6 +66,7 @@
         order.rank,
         int(order.idempotent),
         int(order.may_be_late),
+        int(order.may_learn),
         int((order.objective_s - now_s) * MS_PER_S),
         int((order.limit_s - now_s) * MS_PER_S),
     )
@@ -92,9 +93,10 @@
     :raises ValueError: if the header is missing or malformed.
     """
     fields = request.find_text(ORDER).split(SEPARATOR)
-    if len(fields) != 6:
+    if len(fields) != 7:
         raise ValueError(f"{ORDER.decode()} has {len(fields)} fields")
-    rank, idempotent, late, objective_ms, limit_ms = map(int, fields[1:])
+    numbers = map(int, fields[1:])
+    rank, idempotent, late, learn, objective_ms, limit_ms = numbers
     arrived_s = request.arrived_s
     original = Request(
         request.method,
@@ -111,6 +113,7 @@
         arrived_s + objective_ms / MS_PER_S,
         arrived_s + limit_ms / MS_PER_S,
         bool(late),
+        bool(learn),
     )
     return ReceivedOrder(fields[0], order)
 
--- a/carawayvale/gateway/owned.py
+++ b/carawayvale/gateway/owned.py
@@ -69,6 +69,7 @@
     :param objective_s: time by which its answer is worth most.
     :param limit_s: time by which its answer is due.
     :param may_be_late: whether it may be queued past its objective.
+    :param may_learn: whether the endpoint is the one to keep its object.
     """
 
     request: Request
@@ -77,7 +78,8 @@
     idempotent: bool
     objective_s: float
     limit_s: float
-    may_be_late: bool
+    may_be_late: bool = False
+    may_learn: bool = False
 
 
 class Waiter:
@@ -191,6 +193,7 @@
             order.objective_s,
             order.limit_s,
             order.may_be_late,
+            order.may_learn,
         )
         refusal = self.queue.offer(job, now_s)
         if refusal is not None:
--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -5,6 +5,7 @@
 from carawayvale.steering.admission import Refusal
 from carawayvale.steering.health import EndpointHealth
 from carawayvale.steering.health import Evidence
+from carawayvale.steering.placing import list_first_choices
 from carawayvale.steering.placing import order_endpoints
 from carawayvale.steering.placing import score_endpoint
 from carawayvale.steering.rates import ColdLimit
@@ -23,6 +24,7 @@
     "Evidence",
     "FleetRetryBudget",
     "Job",
+    "list_first_choices",
     "order_endpoints",
     "Refusal",
     "RouteTable",
--- a/carawayvale/steering/admission.py
+++ b/carawayvale/steering/admission.py
@@ -1,12 +1,15 @@
 """Admits and queues the requests for one endpoint at its owner.
 
 Answers the load of more requests than slots. A request that can still be
-answered within its objective goes first, by rank and then by arrival;
-one that cannot is queued behind those while it is likely to end before
-its limit. A request that cannot be served is refused at once.
+answered within its objective goes first, by rank and then by arrival.
+Next come requests for new objects at the endpoint that is to keep them:
+each of them makes many others fast. One that is late is queued behind
+those while it is likely to end before its limit. A request that cannot
+be served is refused at once.
 """
 
 from dataclasses import dataclass
+from enum import IntEnum
 import heapq
 
 from carawayvale.steering.rates import ColdLimit
@@ -26,6 +29,14 @@
 LATE_WINDOW_S = 2.0
 
 
+class Turn(IntEnum):
+    """Which of the waiting requests go first."""
+
+    IN_TIME = 0
+    LEARNING = 1
+    LATE = 2
+
+
 @dataclass(eq=False)
 class Job:
     """A request that waits for a slot or holds one.
@@ -35,6 +46,7 @@
     :param objective_s: time by which its answer is worth most.
     :param limit_s: time by which its answer is due.
     :param may_be_late: whether it may be queued past its objective.
+    :param may_learn: whether the endpoint is the one to keep its object.
     """
 
     rank: int
@@ -42,10 +54,11 @@
     objective_s: float
     limit_s: float
     may_be_late: bool = False
+    may_learn: bool = False
     arrived_s: float = 0.0
     started_s: float = 0.0
     service_s: float = 0.0
-    late: bool = False
+    turn: Turn = Turn.IN_TIME
     known_object: bool = False
     depth: int = 0
 
@@ -93,18 +106,29 @@
         """
         job.arrived_s = now_s
         self._judge(job, now_s)
-        finish_s = self._simulate(job, now_s, False)
+        finish_s = self._simulate(job, now_s, Turn.IN_TIME)
         if finish_s <= job.objective_s:
-            self.waiting.append(job)
-            return None
+            return self._enter(job, Turn.IN_TIME)
+        if self._may_learn(job, now_s):
+            learned_s = self._simulate(job, now_s, Turn.LEARNING)
+            if learned_s <= job.limit_s:
+                job.may_be_late = True
+                return self._enter(job, Turn.LEARNING)
         if not job.may_be_late:
             return Refusal(finish_s - now_s, self._is_busy(job, finish_s))
-        job.late = True
-        finish_s = self._simulate(job, now_s, True)
+        finish_s = self._simulate(job, now_s, Turn.LATE)
         if not self._has_late_room(job, finish_s, now_s):
             return Refusal(finish_s - now_s)
+        return self._enter(job, Turn.LATE)
+
+    def _enter(self, job: Job, turn: Turn) -> None:
+        job.turn = turn
         self.waiting.append(job)
-        return None
+
+    def _may_learn(self, job: Job, now_s: float) -> bool:
+        if not job.may_learn or not job.key or job.known_object:
+            return False
+        return self.times.may_learn(now_s)
 
     def _judge(self, job: Job, now_s: float) -> None:
         job.known_object = self.times.knows(job.key)
@@ -126,12 +150,12 @@
         spare_s = LATE_PART * (job.limit_s - now_s - job.service_s)
         if finish_s - now_s - job.service_s > spare_s:
             return False
-        waiting = sum(other.late for other in self.waiting)
+        waiting = sum(other.turn is Turn.LATE for other in self.waiting)
         rate = self.late_starts.count(now_s) / LATE_WINDOW_S
         return waiting <= rate * spare_s
 
-    def _simulate(self, job: Job, now_s: float, late: bool) -> float:
-        """Work out when a job would end if it were queued now."""
+    def _simulate(self, job: Job, now_s: float, turn: Turn) -> float:
+        """Work out when a job would end if it had this turn now."""
         ends = [
             max(now_s, other.started_s + other.service_s)
             for other in self.running
@@ -142,8 +166,8 @@
         if self.cold is not None:
             ready_s = max(now_s, self.cold.next_s)
         for other in self.waiting:
-            ahead = not other.late and other.rank <= job.rank
-            if late or ahead:
+            same = other.turn is turn and other.rank <= job.rank
+            if other.turn < turn or same or turn is Turn.LATE:
                 start_s = max(ready_s, heapq.heappop(ends))
                 heapq.heappush(ends, start_s + other.service_s)
                 if self.cold is not None:
@@ -161,14 +185,13 @@
         if self.cold is not None and not self.cold.is_free(now_s):
             return None
         for job in self.waiting:
-            if now_s + job.service_s > job.objective_s:
-                job.late = True
+            self._renew_turn(job, now_s)
         job = min(self.waiting, key=_order)
         self.waiting.remove(job)
         self.running.add(job)
         self._judge(job, now_s)
         job.started_s = now_s
-        if job.late:
+        if job.turn is Turn.LATE:
             self.late_starts.add(now_s)
         if self.cold is not None:
             self.cold.record_send(now_s)
@@ -176,6 +199,15 @@
             job.depth = self.times.remember(job.key, now_s)
         return job
 
+    def _renew_turn(self, job: Job, now_s: float) -> None:
+        """Follow what the endpoint has learned, and the time."""
+        if job.turn is Turn.LEARNING and self.times.knows(job.key):
+            self._judge(job, now_s)
+            job.turn = Turn.IN_TIME
+        if job.turn is Turn.IN_TIME:
+            if now_s + job.service_s > job.objective_s:
+                job.turn = Turn.LATE
+
     def drop_hopeless(self, now_s: float) -> list[Job]:
         """Take out the jobs that can no longer end when they should.
 
@@ -234,5 +266,5 @@
         return max(now_s, self.cold.next_s)
 
 
-def _order(job: Job) -> tuple[bool, int, float]:
-    return (job.late, job.rank, job.arrived_s)
+def _order(job: Job) -> tuple[Turn, int, float]:
+    return (job.turn, job.rank, job.arrived_s)
--- a/carawayvale/steering/placing.py
+++ b/carawayvale/steering/placing.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Sequence
 import math
 
 from carawayvale.catalogue.records import Endpoint
@@ -41,3 +42,18 @@
         key=lambda e: (e.region == region, score_endpoint(key, e)),
         reverse=True,
     )
+
+
+def list_first_choices(ordered: Sequence[Endpoint]) -> list[Endpoint]:
+    """List the first choice of each region.
+
+    It keeps the object for the callers of its region; any other endpoint
+    of that region would have to learn it.
+
+    :param ordered: endpoints in their order for the object.
+    :returns: the first of each region, in the same order.
+    """
+    first: dict[str, Endpoint] = {}
+    for endpoint in ordered:
+        first.setdefault(endpoint.region, endpoint)
+    return list(first.values())
--- a/carawayvale/steering/tests/test_admission.py
+++ b/carawayvale/steering/tests/test_admission.py
@@ -7,6 +7,8 @@
 
 from carawayvale.steering.admission import EndpointQueue
 from carawayvale.steering.admission import Job
+from carawayvale.steering.admission import Refusal
+from carawayvale.steering.admission import Turn
 from carawayvale.steering.rates import ColdLimit
 
 
@@ -110,6 +112,56 @@
         assert queue.offer(make_job(0.0), 0.0) is None
 
 
+class TestNewObjects:
+    """Answers the load of objects that are new everywhere."""
+
+    def make_queue(self):
+        queue = make_queue(slots=1)
+        queue.times.known_s, queue.times.new_s = 0.2, 0.6
+        return queue
+
+    def make_job(self, key, learn=True):
+        return Job(0, key, 0.5, 3.0, may_learn=learn)
+
+    def test_the_first_choice_takes_them(self):
+        queue = self.make_queue()
+        other = self.make_job("a", learn=False)
+        assert queue.offer(other, 0.0) == Refusal(0.6, busy=False)
+        job = self.make_job("a")
+        assert queue.offer(job, 0.0) is None
+        assert queue.take(0.0) is job
+
+    def test_they_go_behind_known_and_before_late(self):
+        queue = self.make_queue()
+        queue.times.remember("known", 0.0)
+        late = make_job(0.0, objective_s=0.1, late=True)
+        learning, known = self.make_job("a"), self.make_job("known")
+        for job in (late, learning, known):
+            assert queue.offer(job, 0.0) is None
+        turns = []
+        for _ in range(3):
+            job = queue.take(0.0)
+            turns.append(job.turn)
+            queue.release(job, 0.0, False)
+        assert turns == [Turn.IN_TIME, Turn.LEARNING, Turn.LATE]
+
+    def test_one_run_teaches_the_object(self):
+        queue = self.make_queue()
+        first, second = self.make_job("a"), self.make_job("a")
+        for job in (first, second):
+            queue.offer(job, 0.0)
+        queue.release(queue.take(0.0), 0.0, False)
+        assert queue.take(0.0) is second
+        assert second.turn is Turn.IN_TIME
+        assert second.service_s == 0.2
+
+    def test_they_do_not_push_out_what_is_in_use(self):
+        queue = self.make_queue()
+        queue.times.room = 1
+        queue.times.remember("known", 0.0)
+        assert queue.offer(self.make_job("a"), 1.0) is not None
+
+
 class Play:
     """Plays requests against one queue in virtual time.
 
--- a/carawayvale/steering/tests/test_decisions.py
+++ b/carawayvale/steering/tests/test_decisions.py
@@ -11,6 +11,7 @@
 from carawayvale.steering.health import EndpointHealth
 from carawayvale.steering.health import Evidence
 from carawayvale.steering.health import FAILURES_TO_EJECT
+from carawayvale.steering.placing import list_first_choices
 from carawayvale.steering.placing import order_endpoints
 from carawayvale.steering.rates import ColdLimit
 from carawayvale.steering.rates import FleetRetryBudget
@@ -91,6 +92,15 @@
         for endpoint in endpoints:
             assert 400 < first.count(endpoint.name) < 600
 
+    def test_the_first_choice_elsewhere_is_that_of_its_own_callers(self):
+        """Answers the load that a region cannot take: others know it."""
+        endpoints = make_endpoints(6) + make_endpoints(4, "geneva")
+        for key in map(str, range(50)):
+            there = order_endpoints(endpoints, key, "geneva")[0]
+            ordered = order_endpoints(endpoints, key, "zurich")
+            found = list_first_choices(ordered)
+            assert found == [ordered[0], there]
+
 
 class TestColdLimit:
     @pytest.mark.parametrize("rate", [2.0, 12.0, 40.0])
