Use endpoints that fail many requests once sound ones are full

Cause: an owner spared such an endpoint by calling it unusable. If any sound endpoint was full, the late attempts went to that one only, so with 10 of 12 endpoints failing part of their requests nearly all were refused.

Change: the owner tells that it spares the endpoint; the instance asks it again, before it queues the request late, when no sound one has room.

Test: test_a_failing_endpoint_is_used_when_sound_ones_are_full (failed first with 503).

--- a/carawayvale/gateway/caller_port.py
+++ b/carawayvale/gateway/caller_port.py
@@ -61,6 +61,7 @@
     :param over: whether no further attempt is allowed.
     :param tried: endpoints that it was sent to.
     :param full: endpoints without room, with the time until an answer.
+    :param spared: endpoints that fail many, kept for later.
     :param spare: an error answer, kept in case nothing better comes.
     """
 
@@ -72,6 +73,7 @@
     over: bool = False
     tried: list[str] = field(default_factory=list)
     full: dict[str, float] = field(default_factory=dict)
+    spared: list[Endpoint] = field(default_factory=list)
     spare: Result | None = None
 
 
@@ -139,7 +141,11 @@
             result = await self._try_all(flight, group, flight.order)
             if result is not None or flight.over:
                 return result
-        late = replace(flight.order, may_be_late=True, may_learn=False)
+        risky = replace(flight.order, may_fail=True)
+        result = await self._try_all(flight, flight.spared, risky)
+        if result is not None or flight.over:
+            return result
+        late = replace(risky, may_be_late=True, may_learn=False)
         candidates = self._order_late(flight, local, remote)
         return await self._try_all(flight, candidates[:LATE_TRIES], late)
 
@@ -200,6 +206,9 @@
                 if result.busy:
                     node.note_full(endpoint, result.finish_s)
                 continue
+            if result.outcome is Outcome.SPARED:
+                flight.spared.append(endpoint)
+                continue
             if result.outcome in (Outcome.UNUSABLE, Outcome.UNSENT):
                 continue
             node.shift.record(away, now_s)
--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -67,6 +67,7 @@
         int(order.idempotent),
         int(order.may_be_late),
         int(order.may_learn),
+        int(order.may_fail),
         int((order.objective_s - now_s) * MS_PER_S),
         int((order.limit_s - now_s) * MS_PER_S),
     )
@@ -93,10 +94,10 @@
     :raises ValueError: if the header is missing or malformed.
     """
     fields = request.find_text(ORDER).split(SEPARATOR)
-    if len(fields) != 7:
+    if len(fields) != 8:
         raise ValueError(f"{ORDER.decode()} has {len(fields)} fields")
     numbers = map(int, fields[1:])
-    rank, idempotent, late, learn, objective_ms, limit_ms = numbers
+    rank, idempotent, late, learn, fail, objective_ms, limit_ms = numbers
     arrived_s = request.arrived_s
     original = Request(
         request.method,
@@ -114,6 +115,7 @@
         arrived_s + limit_ms / MS_PER_S,
         bool(late),
         bool(learn),
+        bool(fail),
     )
     return ReceivedOrder(fields[0], order)
 
--- a/carawayvale/gateway/owned.py
+++ b/carawayvale/gateway/owned.py
@@ -70,6 +70,7 @@
     :param limit_s: time by which its answer is due.
     :param may_be_late: whether it may be queued past its objective.
     :param may_learn: whether the endpoint is the one to keep its object.
+    :param may_fail: whether an endpoint that fails many may serve it.
     """
 
     request: Request
@@ -80,6 +81,7 @@
     limit_s: float
     may_be_late: bool = False
     may_learn: bool = False
+    may_fail: bool = False
 
 
 class Waiter:
@@ -183,9 +185,9 @@
         if not self.is_usable:
             return Result(Outcome.UNUSABLE)
         now_s = read_boot_clock()
-        if self.health.is_failing and not order.may_be_late:
+        if self.health.is_failing and not order.may_fail:
             if not self.health.takes_sample(now_s):
-                return Result(Outcome.UNUSABLE)
+                return Result(Outcome.SPARED)
         self._apply_cold(now_s)
         job = Job(
             order.rank,
--- a/carawayvale/gateway/tests/test_fleet.py
+++ b/carawayvale/gateway/tests/test_fleet.py
@@ -6,11 +6,13 @@
 import pytest
 
 from carawayvale.contracts.address import Address
+from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway import daemon as daemon_module
 from carawayvale.gateway.tests.fleet import open_fleet
 from carawayvale.links.connections import ConnectionPool
 from carawayvale.links.connections import OutgoingCall
 from carawayvale.links.http import connect
+from carawayvale.steering.admission import Job
 
 DESK = {"host": b"jepu9.example", "path": "/puka/1", "method": "POST"}
 
@@ -137,6 +139,25 @@
 
         play(scenario, endpoints=("i-1", "i-2"))
 
+    def test_a_failing_endpoint_is_used_when_sound_ones_are_full(self):
+        """Answers the load of most endpoints of a service failing."""
+
+        async def scenario(fleet):
+            node = fleet.daemons[0].node
+            now_s = read_boot_clock()
+            failing, full = node.find_owned("i-1"), node.find_owned("i-2")
+            failing.health.failing = 0.6
+            failing.health.sampled_s = now_s + 60
+            for _ in range(full.endpoint.slots):
+                job = Job(0, "", now_s, now_s + 60, started_s=now_s)
+                job.service_s = 60.0
+                full.queue.running.add(job)
+            reply = await fleet.call(fleet.daemons[0])
+            assert reply.head.status == 200
+            assert fleet.endpoints["i-1"].runs
+
+        play(scenario, endpoints=("i-1", "i-2"))
+
 
 class TestLeaving:
     def test_a_draining_endpoint_gets_nothing_more(self):
--- a/carawayvale/gateway/upstream.py
+++ b/carawayvale/gateway/upstream.py
@@ -46,7 +46,8 @@
 class Outcome(Enum):
     """How a request fared at an endpoint or its owner.
 
-    FULL and UNUSABLE come from the owner: nothing was sent. UNSENT:
+    FULL, SPARED and UNUSABLE come from the owner: nothing was sent.
+    SPARED: it fails many requests, so sound ones go first. UNSENT:
     no connection. NOT_RUN: the endpoint says so. FAILED: it may have
     run, and there is no usable answer. LATE: it may have run, and the
     time is over.
@@ -54,6 +55,7 @@
 
     ANSWERED = "answered"
     FULL = "full"
+    SPARED = "spared"
     UNUSABLE = "unusable"
     UNSENT = "unsent"
     NOT_RUN = "not_run"
