Learn objects where the wait is short; free the shift at a start

A region whose endpoints were all evacuated could send elsewhere only a tenth more in each window.

Tests: TestShiftLimit, TestNewObjects.

--- a/carawayvale/gateway/caller_port.py
+++ b/carawayvale/gateway/caller_port.py
@@ -41,6 +41,9 @@
 MAX_RETRY_S = 2.0
 NO_CONFIGURATION_RETRY_S = 0.3
 
+# Nothing was sent, and the endpoint may be gone.
+NOT_THERE = frozenset({Outcome.UNUSABLE, Outcome.UNSENT})
+
 HTTP_BAD_REQUEST = 400
 HTTP_NOT_FOUND = 404
 HTTP_BAD_GATEWAY = 502
@@ -61,6 +64,8 @@
     :param over: whether no further attempt is allowed.
     :param tried: endpoints that it was sent to.
     :param full: endpoints without room, with the time until an answer.
+    :param keepers: by region, the endpoint that keeps the object: the
+        first that is usable.
     :param spared: endpoints that fail many, kept for later.
     :param spare: an error answer, kept in case nothing better comes.
     """
@@ -73,6 +78,7 @@
     over: bool = False
     tried: list[str] = field(default_factory=list)
     full: dict[str, float] = field(default_factory=dict)
+    keepers: dict[str, str] = field(default_factory=dict)
     spared: list[Endpoint] = field(default_factory=list)
     spare: Result | None = None
 
@@ -136,7 +142,6 @@
         groups = [local[:LOCAL_TRIES], elsewhere[:REMOTE_TRIES]]
         if remote_first:
             groups.reverse()
-        flight.order = replace(flight.order, may_learn=True)
         for group in groups:
             result = await self._try_all(flight, group, flight.order)
             if result is not None or flight.over:
@@ -145,7 +150,7 @@
         result = await self._try_all(flight, flight.spared, risky)
         if result is not None or flight.over:
             return result
-        late = replace(risky, may_be_late=True, may_learn=False)
+        late = replace(risky, may_be_late=True)
         candidates = self._order_late(flight, local, remote)
         return await self._try_all(flight, candidates[:LATE_TRIES], late)
 
@@ -174,7 +179,8 @@
         self, flight: Flight, local: list[Endpoint], remote: list[Endpoint]
     ) -> list[Endpoint]:
         known = [e for e in local + remote if e.name in flight.full]
-        known.sort(key=lambda e: flight.full[e.name])
+        keepers = set(flight.keepers.values())
+        known.sort(key=lambda e: (e.name not in keepers, flight.full[e.name]))
         return known or local or remote
 
     async def _try_all(
@@ -186,22 +192,24 @@
             if now_s >= order.limit_s:
                 flight.over = True
                 return None
-            finish_s = node.find_full(endpoint, now_s)
-            if finish_s is not None and not order.may_be_late:
-                flight.full[endpoint.name] = finish_s
-                order = flight.order = replace(order, may_learn=False)
-                continue
             away = endpoint.region != node.settings.region
             if away and not node.shift.allows(now_s):
                 continue
             if endpoint.name in flight.tried:
                 continue
+            region, name = endpoint.region, endpoint.name
+            keeps = flight.keepers.setdefault(region, name) == name
+            finish_s = node.find_full(endpoint, now_s)
+            if finish_s is not None and not order.may_be_late:
+                flight.full[name] = finish_s
+                continue
+            order = replace(order, may_learn=keeps)
             result = await self._try_owners(flight, endpoint, order)
-            if result is None:
+            if result is None or result.outcome in NOT_THERE:
+                if keeps:
+                    del flight.keepers[region]
                 continue
             if result.outcome is Outcome.FULL:
-                # Only the first choice is to keep the object.
-                order = flight.order = replace(order, may_learn=False)
                 flight.full[endpoint.name] = result.finish_s
                 if result.busy:
                     node.note_full(endpoint, result.finish_s)
@@ -209,8 +217,6 @@
             if result.outcome is Outcome.SPARED:
                 flight.spared.append(endpoint)
                 continue
-            if result.outcome in (Outcome.UNUSABLE, Outcome.UNSENT):
-                continue
             node.shift.record(away, now_s)
             flight.tried.append(endpoint.name)
             if self._settle(flight, result):
--- a/carawayvale/steering/admission.py
+++ b/carawayvale/steering/admission.py
@@ -20,6 +20,10 @@
 # objective.
 FIRST_PART = 0.5
 
+# A request that has to wait for this many service times to teach an
+# endpoint its object may find another region that knows it.
+LEARN_WAITS = 1.0
+
 # A late request is overtaken by those in time that arrive after it, so
 # its estimated wait may be this part of the time that it can wait.
 LATE_PART = 0.6
@@ -111,7 +115,8 @@
             return self._enter(job, Turn.IN_TIME)
         if self._may_learn(job, now_s):
             learned_s = self._simulate(job, now_s, Turn.LEARNING)
-            if learned_s <= job.limit_s:
+            soon_s = now_s + (1 + LEARN_WAITS) * job.service_s
+            if learned_s <= min(soon_s, job.limit_s):
                 job.may_be_late = True
                 return self._enter(job, Turn.LEARNING)
         if not job.may_be_late:
--- a/carawayvale/steering/rates.py
+++ b/carawayvale/steering/rates.py
@@ -141,8 +141,16 @@
 
     def __init__(self, step: float):
         self.step = step * SHIFT_PART
+        self.lifted_s = float("-inf")
         self.sent: deque[tuple[float, bool]] = deque()
 
+    def lift(self, until_s: float) -> None:
+        """Set no limit for a while: endpoints nearby must be left.
+
+        :param until_s: time from which the limit holds again.
+        """
+        self.lifted_s = max(self.lifted_s, until_s)
+
     def record(self, remote: bool, now_s: float) -> None:
         """Record where a request is served.
 
@@ -160,12 +168,18 @@
         part = sum(before) / len(before) if before else 0.0
         return part, sum(now), len(now)
 
+    def _is_new(self, now_s: float) -> bool:
+        """Tell whether there is no earlier window to compare with."""
+        return not self.sent or now_s - self.sent[0][0] < SHIFT_WINDOW_S
+
     def allows(self, now_s: float) -> bool:
         """Tell whether another request may be served elsewhere.
 
         :param now_s: the time.
         :returns: whether the part may grow.
         """
+        if now_s < self.lifted_s or self._is_new(now_s):
+            return True
         before, remote, total = self._measure(now_s)
         room = (before + self.step) * max(total + 1, SHIFT_SAMPLE)
         return remote + 1 <= room
@@ -176,6 +190,8 @@
         :param now_s: the time.
         :returns: whether the next request should be served elsewhere.
         """
+        if now_s < self.lifted_s:
+            return False
         before, remote, total = self._measure(now_s)
         if total < SHIFT_SAMPLE:
             return False
--- a/carawayvale/steering/tests/test_decisions.py
+++ b/carawayvale/steering/tests/test_decisions.py
@@ -158,6 +158,25 @@
             sent.append((now_s, remote))
         return sent
 
+    def test_the_first_window_is_free(self):
+        """Answers the load of a start with too few endpoints nearby."""
+        limit = ShiftLimit(0.15)
+        for step in range(100):
+            assert limit.allows(step / 100)
+            limit.record(True, step / 100)
+
+    def test_an_evacuation_lifts_it_for_a_while(self):
+        limit = ShiftLimit(0.15)
+        for step in range(400):
+            limit.record(False, step / 100)
+        for step in range(50):
+            limit.record(True, 4.0)
+        assert not limit.allows(4.0)
+        limit.lift(4.5)
+        assert limit.allows(4.0)
+        assert not limit.demands(4.0)
+        assert not limit.allows(4.5)
+
     def test_the_part_elsewhere_changes_step_by_step(self):
         sent = self.play(lambda now_s: 0.5 if 4 <= now_s < 12 else 0.0)
         parts = []
