Serve metrics and state, log decisions with their inputs, explain a request

The gateway counts requests, refusals, attempts and runs by rank and end, records latencies at the caller, in the queue and at the endpoint, and serves them with the ages of configuration, store and member list at the metrics address; /state there is what the status command reads. Each refusal and failure writes what was asked and what came of it; of served requests one in 64 writes a line at its entry and its owner.

New commands: explain joins the logs of several instances into the story of one request; check-deploy checks the deploy file, a settings file and a configuration and lists all findings with their place. Flight is a module of its own.

--- a/carawayvale/commands/main.py
+++ b/carawayvale/commands/main.py
@@ -1,12 +1,14 @@
 """The command ``carawayvale``."""
 
 import json
+from pathlib import Path
 import sys
 from urllib.parse import urlencode
 import warnings
 
 import curio
 import fire
+from fire import decorators
 
 from carawayvale.commands.client import read_states
 from carawayvale.commands.client import send_call
@@ -17,11 +19,17 @@
 from carawayvale.commands.documents import print_json
 from carawayvale.commands.exits import ExitStatus
 from carawayvale.commands.exits import fail
+from carawayvale.commands.explain import format_story
+from carawayvale.commands.explain import read_logs
+from carawayvale.commands.explain import tell_story
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.fields import parse_address
 from carawayvale.contracts.findings import InvalidInput
 from carawayvale.contracts import headers as names
 from carawayvale.contracts.settings import load_settings
+from carawayvale.platform.checks import check_configuration_file
+from carawayvale.platform.checks import check_deploy_file
+from carawayvale.platform.checks import check_settings_file
 from carawayvale.standins.caller import Call
 from carawayvale.standins.caller import Caller
 from carawayvale.standins.caller import CallResult
@@ -181,6 +189,47 @@
         if not any(states):
             raise SystemExit(int(ExitStatus.UNREACHABLE))
 
+    @decorators.SetParseFn(str)
+    def explain(self, request_id: str, *logs: str) -> None:
+        """Tell what became of a request, from the logs of instances.
+
+        :param request_id: its id.
+        :param logs: files with the log lines of one instance or more.
+        """
+        if not logs:
+            fail(ExitStatus.USAGE, "name the log files of some instances")
+        lines = read_logs(Path(name) for name in logs)
+        story = tell_story(str(request_id), lines)
+        if not story:
+            fail(
+                ExitStatus.FAILED,
+                f"no line of request {request_id} in {len(lines)} lines; "
+                "of requests that are served only a sample is logged",
+            )
+        print("\n".join(format_story(str(request_id), story)))
+
+    def check_deploy(
+        self,
+        deploy: str = "deploy/system.toml",
+        settings: str = "",
+        configuration: str = "",
+    ) -> None:
+        """Check the files of a deployment on the platform.
+
+        :param deploy: the deploy file.
+        :param settings: settings file of a process, if any.
+        :param configuration: file with the operators' configuration, as
+            it is stored, if any.
+        """
+        findings = check_deploy_file(deploy)
+        if settings:
+            findings += check_settings_file(settings)
+        if configuration:
+            findings += check_configuration_file(configuration)
+        if findings:
+            fail(ExitStatus.INVALID, "\n".join(map(str, findings)))
+        print("no findings")
+
     def drain(self, entry: str) -> None:
         """Begin the planned stop of an entry instance.
 
--- a/carawayvale/commands/tests/test_main.py
+++ b/carawayvale/commands/tests/test_main.py
@@ -21,6 +21,38 @@
     )
 
 
+class TestPlatformCommands:
+    def test_our_deploy_file_passes(self):
+        done = run_command("check-deploy")
+        assert done.returncode == 0, done.stderr
+        assert "no findings" in done.stdout
+
+    def test_findings_of_all_files_are_listed(self, tmp_path):
+        path = tmp_path / "n.json"
+        path.write_text("{}")
+        missing = str(tmp_path / "none.toml")
+        done = run_command(
+            "check-deploy", f"--deploy={missing}", f"--settings={path}"
+        )
+        assert done.returncode == 3
+        assert missing in done.stderr and str(path) in done.stderr
+
+    def test_explain_prints_the_story(self, tmp_path):
+        path = tmp_path / "e1.log"
+        path.write_text(
+            "time=2026-01-02T03:04:05.000+00:00 level=INFO "
+            "event=request_refused request=9c41 reason=full\n"
+        )
+        done = run_command("explain", "9c41", str(path))
+        assert done.returncode == 0, done.stderr
+        assert "request_refused  reason=full" in done.stdout
+        path.write_text(path.read_text().replace("9c41", "1e10"))
+        assert run_command("explain", "1e10", str(path)).returncode == 0
+        done = run_command("explain", "none", str(path))
+        assert done.returncode == 1
+        assert "no line of request none" in done.stderr
+
+
 class TestExitStatuses:
     def test_valid_document_passes(self):
         for name in ("gitterwerk", "kuttanad"):
--- a/carawayvale/gateway/caller_port.py
+++ b/carawayvale/gateway/caller_port.py
@@ -1,18 +1,18 @@
 """Serves callers' requests: route, endpoint, attempts, answer."""
 
-from dataclasses import dataclass
-from dataclasses import field
 from dataclasses import replace
 
 from carawayvale.catalogue.records import Endpoint
 from carawayvale.catalogue.records import Route
 from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.flight import Flight
 from carawayvale.gateway.forwarding import drop_own_headers
 from carawayvale.gateway.forwarding import OwnerUnreachable
 from carawayvale.gateway.forwarding import serve_at
 from carawayvale.gateway.http_port import Answer
 from carawayvale.gateway.http_port import Request
 from carawayvale.gateway.node import GatewayNode
+from carawayvale.gateway.observer import format_ms
 from carawayvale.gateway.owned import Order
 from carawayvale.gateway.upstream import Outcome
 from carawayvale.gateway.upstream import Result
@@ -41,6 +41,9 @@
 MAX_RETRY_S = 2.0
 NO_CONFIGURATION_RETRY_S = 0.3
 
+# Stands for the rank of a request whose route is not known.
+UNKNOWN_RANK = -1
+
 # Nothing was sent, and the endpoint may be gone.
 NOT_THERE = frozenset({Outcome.UNUSABLE, Outcome.UNSENT})
 
@@ -52,37 +55,6 @@
 HTTP_SERVER_ERROR = 500
 
 
-@dataclass(eq=False)
-class Flight:
-    """One request on its way through the attempts.
-
-    :param request: the request.
-    :param route: its route.
-    :param service: the service that was chosen for it.
-    :param order: the request and its times.
-    :param may_have_run: whether an endpoint may have run it.
-    :param over: whether no further attempt is allowed.
-    :param tried: endpoints that it was sent to.
-    :param full: endpoints without room, with the time until an answer.
-    :param keepers: by region, the endpoint that keeps the object: the
-        first that is usable.
-    :param spared: endpoints that fail many, kept for later.
-    :param spare: an error answer, kept in case nothing better comes.
-    """
-
-    request: Request
-    route: Route
-    service: str
-    order: Order
-    may_have_run: bool = False
-    over: bool = False
-    tried: list[str] = field(default_factory=list)
-    full: dict[str, float] = field(default_factory=dict)
-    keepers: dict[str, str] = field(default_factory=dict)
-    spared: list[Endpoint] = field(default_factory=list)
-    spare: Result | None = None
-
-
 class CallerPort:
     """Serves the requests of callers.
 
@@ -100,7 +72,7 @@
         :returns: the answer.
         """
         if self.node.catalogue.configuration is None:
-            return self._refuse(request, NO_CONFIGURATION_RETRY_S, "starting")
+            return self._refuse_at_start(request)
         host = request.find_text(b"host")
         route = self.node.routes.find(host, request.path)
         if route is None:
@@ -113,11 +85,23 @@
             request, route, service, self._make_order(request, route)
         )
         self.node.find_budget(service).record_request(request.arrived_s)
-        result = await self._run(flight)
+        result = await self._run(flight) or flight.spare
         if result is not None:
+            self._note_answer(flight, result)
             return Answer(result.status, result.headers, result.body)
         return self._give_up(flight)
 
+    def _note_answer(self, flight: Flight, result: Result) -> None:
+        request = flight.request
+        self.node.observer.note_answer(
+            flight.route.rank,
+            request.find_text(self.dialect.request_id),
+            read_boot_clock() - request.arrived_s,
+            route=flight.route.name,
+            status=result.status,
+            asked=flight.describe_asked(),
+        )
+
     def _make_order(self, request: Request, route: Route) -> Order:
         left_s = DEFAULT_LEFT_S
         value = request.find_text(self.dialect.deadline_ms)
@@ -202,9 +186,11 @@
             finish_s = node.find_full(endpoint, now_s)
             if finish_s is not None and not order.may_be_late:
                 flight.full[name] = finish_s
+                flight.asked.append((name, "known_full"))
                 continue
             order = replace(order, may_learn=keeps)
             result = await self._try_owners(flight, endpoint, order)
+            self._note_attempt(flight, name, result)
             if result is None or result.outcome in NOT_THERE:
                 if keeps:
                     del flight.keepers[region]
@@ -225,6 +211,13 @@
                 return flight.spare
         return None
 
+    def _note_attempt(
+        self, flight: Flight, name: str, result: Result | None
+    ) -> None:
+        outcome = result.outcome.value if result else "no_owner"
+        flight.asked.append((name, outcome))
+        self.node.observer.note_attempt(flight.route.rank, outcome)
+
     async def _try_owners(
         self, flight: Flight, endpoint: Endpoint, order: Order
     ) -> Result | None:
@@ -286,31 +279,41 @@
         )
 
     def _give_up(self, flight: Flight) -> Answer:
-        if flight.spare is not None:
-            spare = flight.spare
-            return Answer(spare.status, spare.headers, spare.body)
+        request = flight.request
+        known = dict(
+            route=flight.route.name,
+            asked=flight.describe_asked(),
+            left_ms=format_ms(flight.order.limit_s - read_boot_clock()),
+            revision=self.node.catalogue.revision,
+        )
+        request_id = request.find_text(self.dialect.request_id)
+        rank = flight.route.rank
+        observer = self.node.observer
         if flight.may_have_run:
             now_s = read_boot_clock()
             late = now_s >= flight.order.limit_s
             status = HTTP_GATEWAY_TIMEOUT if late else HTTP_BAD_GATEWAY
-            log_event(
-                "request_failed",
-                request=flight.request.find_text(self.dialect.request_id),
-                status=status,
-            )
-            return self._make_answer(flight.request, status)
-        finish_s = min(flight.full.values(), default=MIN_RETRY_S)
-        return self._refuse(flight.request, finish_s, "full")
-
-    def _refuse(self, request: Request, retry_s: float, reason: str) -> Answer:
-        """Refuse a request that has not run."""
+            observer.note_failure(rank, request_id, status, **known)
+            return self._make_answer(request, status)
+        retry_s = min(flight.full.values(), default=MIN_RETRY_S)
         retry_s = min(MAX_RETRY_S, max(MIN_RETRY_S, retry_s))
-        log_event(
-            "request_refused",
-            request=request.find_text(self.dialect.request_id),
-            reason=reason,
-            retry_s=retry_s,
+        reason = "full" if flight.full else "no_endpoint"
+        known["retry_s"] = retry_s
+        observer.note_refusal(rank, request_id, reason, **known)
+        return self._refuse(request, retry_s)
+
+    def _refuse_at_start(self, request: Request) -> Answer:
+        """Refuse a request before there is a configuration."""
+        self.node.observer.note_refusal(
+            UNKNOWN_RANK,
+            request.find_text(self.dialect.request_id),
+            "starting",
+            retry_s=NO_CONFIGURATION_RETRY_S,
         )
+        return self._refuse(request, NO_CONFIGURATION_RETRY_S)
+
+    def _refuse(self, request: Request, retry_s: float) -> Answer:
+        """Answer that a request has not run, and when to come back."""
         return self._make_answer(
             request,
             HTTP_UNAVAILABLE,
--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -20,6 +20,7 @@
 from carawayvale.gateway.registration import Registration
 from carawayvale.gateway.settings import GatewaySettings
 from carawayvale.gateway.small_ports import LookupPort
+from carawayvale.gateway.small_ports import MetricsPort
 from carawayvale.gateway.small_ports import ReadyPort
 from carawayvale.links import handlers  # noqa: F401 registers handlers
 from carawayvale.links.keeper import DocumentKeeper
@@ -109,6 +110,9 @@
             Listener(open_listener(settings.peers), self.peers.accept),
             self._open(settings.lookups, LookupPort(self.node).handle),
             self._open(settings.readiness, ReadyPort(self.node).handle),
+            self._open(
+                settings.metrics, MetricsPort(self.node, self.feed).handle
+            ),
         ]
         tasks: list[Callable] = [listener.run for listener in listeners]
         tasks += [
@@ -123,6 +127,7 @@
             instance=settings.name,
             callers=settings.callers,
             store=settings.store,
+            metrics=settings.metrics,
         )
         async with curio.TaskGroup(wait=any) as group:
             for task in tasks:
@@ -182,6 +187,7 @@
             await self.peers.settle()
 
     async def _on_members(self) -> None:
+        self.node.members_changed_s = read_boot_clock()
         self.node.assign()
         self.node.abort_forwards()
 
--- /dev/null
+++ b/carawayvale/gateway/flight.py
@@ -0,0 +1,51 @@
+"""One request of a caller on its way through the attempts."""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from carawayvale.catalogue.records import Endpoint
+from carawayvale.catalogue.records import Route
+from carawayvale.gateway.http_port import Request
+from carawayvale.gateway.owned import Order
+from carawayvale.gateway.upstream import Result
+
+
+@dataclass(eq=False)
+class Flight:
+    """One request on its way through the attempts.
+
+    :param request: the request.
+    :param route: its route.
+    :param service: the service that was chosen for it.
+    :param order: the request and its times.
+    :param may_have_run: whether an endpoint may have run it.
+    :param over: whether no further attempt is allowed.
+    :param tried: endpoints that it was sent to.
+    :param full: endpoints without room, with the time until an answer.
+    :param keepers: by region, the endpoint that keeps the object: the
+        first that is usable.
+    :param spared: endpoints that fail many, kept for later.
+    :param asked: owners' answers, for the log.
+    :param spare: an error answer, kept in case nothing better comes.
+    """
+
+    request: Request
+    route: Route
+    service: str
+    order: Order
+    may_have_run: bool = False
+    over: bool = False
+    tried: list[str] = field(default_factory=list)
+    full: dict[str, float] = field(default_factory=dict)
+    keepers: dict[str, str] = field(default_factory=dict)
+    spared: list[Endpoint] = field(default_factory=list)
+    asked: list[tuple[str, str]] = field(default_factory=list)
+    spare: Result | None = None
+
+    def describe_asked(self) -> str:
+        """Write which endpoints were asked and what came of it.
+
+        :returns: ``endpoint:outcome`` pairs; a dash if none was asked.
+        """
+        pairs = [f"{name}:{outcome}" for name, outcome in self.asked]
+        return ",".join(pairs) or "-"
--- a/carawayvale/gateway/node.py
+++ b/carawayvale/gateway/node.py
@@ -14,6 +14,7 @@
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.contracts.hashing import hash_text
+from carawayvale.gateway.observer import RequestObserver
 from carawayvale.gateway.owned import OwnedEndpoint
 from carawayvale.gateway.settings import GatewaySettings
 from carawayvale.links.connections import ConnectionPools
@@ -85,6 +86,9 @@
         self.full: dict[str, FullEndpoint] = {}
         self.forwards: dict[str, set[HttpClient]] = {}
         self.leaving = False
+        self.configured_s = read_boot_clock()
+        self.members_changed_s = self.configured_s
+        self.observer = RequestObserver()
 
     @property
     def is_ready(self) -> bool:
@@ -117,6 +121,7 @@
         configuration = catalogue.configuration
         if configuration is not old.configuration and configuration:
             self.routes = RouteTable(configuration.routes)
+            self.configured_s = now_s
         by_service: dict[str, list[Endpoint]] = {}
         for endpoint in catalogue.endpoints.values():
             by_service.setdefault(endpoint.service, []).append(endpoint)
@@ -183,7 +188,7 @@
         service = self._find_service(endpoint)
         if service is None:
             return None
-        owned = OwnedEndpoint(self.dialect, endpoint, service)
+        owned = OwnedEndpoint(self.dialect, endpoint, service, self.observer)
         owned.blocked = endpoint.domain in self.catalogue.evacuated
         self.owned[name] = owned
         log_event("endpoint_owned", endpoint=name, service=service.name)
--- a/carawayvale/gateway/owned.py
+++ b/carawayvale/gateway/owned.py
@@ -10,6 +10,8 @@
 from carawayvale.catalogue.records import Service
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.http_port import Request
+from carawayvale.gateway.observer import format_ms
+from carawayvale.gateway.observer import RequestObserver
 from carawayvale.gateway.upstream import HTTP_MISDIRECTED
 from carawayvale.gateway.upstream import Outcome
 from carawayvale.gateway.upstream import Result
@@ -98,10 +100,18 @@
     :param dialect: names of headers.
     :param endpoint: the endpoint.
     :param service: its service.
+    :param observer: counts and logs its requests.
     """
 
-    def __init__(self, dialect: Dialect, endpoint: Endpoint, service: Service):
+    def __init__(
+        self,
+        dialect: Dialect,
+        endpoint: Endpoint,
+        service: Service,
+        observer: RequestObserver,
+    ):
         self.dialect = dialect
+        self.observer = observer
         self.endpoint = endpoint
         self.service = service
         self.queue = EndpointQueue(endpoint.slots)
@@ -270,8 +280,28 @@
         finally:
             self.sending.pop(job, None)
         self._learn(result)
+        self._note_run(order, job, result)
         return result
 
+    def _note_run(self, order: Order, job: Job, result: Result) -> None:
+        answered = result.outcome is Outcome.ANSWERED
+        self.observer.note_run(
+            order.rank,
+            order.request.find_text(self.dialect.request_id),
+            job.started_s - job.arrived_s,
+            read_boot_clock() - job.started_s,
+            result.outcome.value,
+            answered and result.status < HTTP_SERVER_ERROR,
+            endpoint=self.endpoint.name,
+            status=result.status,
+            estimate_ms=format_ms(job.service_s),
+            turn=job.turn.name.lower(),
+            waiting=len(self.queue.waiting),
+            running=len(self.queue.running),
+            revision=self.endpoint.revision,
+            cause=result.cause or "none",
+        )
+
     def _learn(self, result: Result) -> None:
         now_s = read_boot_clock()
         if (
@@ -286,6 +316,7 @@
             evidence = ERRORS.get(evidence, evidence)
         self.health.record(evidence, now_s)
         if usable and not self.health.is_usable:
+            self.observer.metrics.count("ejections", self.service.name)
             log_event(
                 "endpoint_ejected",
                 "WARNING",
--- a/carawayvale/gateway/small_ports.py
+++ b/carawayvale/gateway/small_ports.py
@@ -1,5 +1,10 @@
-"""The ports for look-ups, readiness and metrics."""
+"""The ports for look-ups, readiness, metrics and state."""
 
+from collections.abc import Callable
+import json
+
+from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.feed import Feed
 from carawayvale.gateway.http_port import Answer
 from carawayvale.gateway.http_port import Request
 from carawayvale.gateway.node import GatewayNode
@@ -11,6 +16,9 @@
 MAX_ADDRESSES = 64
 TTL_S = 2.0
 JSON_TYPE = (b"content-type", b"application/json")
+TEXT_TYPE = (b"content-type", b"text/plain; version=0.0.4")
+METRICS_PATH = "/metrics"
+STATE_PATH = "/state"
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_UNAVAILABLE = 503
@@ -64,3 +72,76 @@
             return Answer(HTTP_NOT_FOUND)
         ready = self.node.is_ready
         return Answer(HTTP_OK if ready else HTTP_UNAVAILABLE)
+
+
+class MetricsPort:
+    """Shows operators the metrics and the state of the instance.
+
+    :param node: the instance.
+    :param feed: its view of the store.
+    """
+
+    def __init__(self, node: GatewayNode, feed: Feed):
+        self.node = node
+        self.feed = feed
+        self.pages: dict[str, Callable[[], Answer]] = {
+            METRICS_PATH: self._show_metrics,
+            STATE_PATH: self._show_state,
+        }
+
+    async def handle(self, request: Request) -> Answer:
+        """Answer an operator.
+
+        :param request: the request.
+        :returns: the answer.
+        """
+        show = self.pages.get(request.path)
+        return show() if show else Answer(HTTP_NOT_FOUND)
+
+    def _show_metrics(self) -> Answer:
+        metrics = self.node.observer.metrics
+        for name, value in self._measure().items():
+            metrics.set_gauge(name, "", value)
+        return Answer(HTTP_OK, (TEXT_TYPE,), metrics.format_text())
+
+    def _measure(self) -> dict[str, float]:
+        node, now_s = self.node, read_boot_clock()
+        owned = node.owned.values()
+        configuration = node.catalogue.configuration
+        return {
+            "configuration_version": configuration.version
+            if configuration
+            else 0,
+            "configuration_age_s": now_s - node.configured_s,
+            "store_age_s": now_s - self.feed.fresh_s,
+            "revision": node.catalogue.revision,
+            "endpoints": len(node.catalogue.endpoints),
+            "endpoints_owned": len(owned),
+            "endpoints_ejected": sum(o.health.ejected for o in owned),
+            "members": len(node.membership.list_serving()),
+            "members_age_s": now_s - node.members_changed_s,
+            "waiting": sum(len(o.queue.waiting) for o in owned),
+            "running": sum(len(o.queue.running) for o in owned),
+        }
+
+    def _show_state(self) -> Answer:
+        node = self.node
+        members = [
+            {"name": record.name, "state": record.state.name.lower()}
+            for _, record in sorted(node.membership.records.items())
+        ]
+        state = {
+            "name": node.settings.name,
+            "region": node.settings.region,
+            "revision": node.catalogue.revision,
+            "ready": node.is_ready,
+            "draining": node.leaving,
+            "in_flight": sum(
+                len(o.queue.running) for o in node.owned.values()
+            ),
+            "watcher": self.feed.watching,
+            "store_down": not self.feed.reachable,
+            "shards": sorted(node.owned),
+            "members": members,
+        }
+        return Answer(HTTP_OK, (JSON_TYPE,), json.dumps(state).encode())
--- a/carawayvale/gateway/tests/test_fleet.py
+++ b/carawayvale/gateway/tests/test_fleet.py
@@ -1,13 +1,16 @@
 """Tests of whole requests through instances, store and endpoints."""
 
 from dataclasses import replace
+import json
 
 import curio
 import pytest
 
+from carawayvale.commands.main import format_state
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway import daemon as daemon_module
+from carawayvale.gateway import observer as observer_module
 from carawayvale.gateway.tests.fleet import open_fleet
 from carawayvale.links.connections import ConnectionPool
 from carawayvale.links.connections import OutgoingCall
@@ -159,6 +162,58 @@
         play(scenario, endpoints=("i-1", "i-2"))
 
 
+class TestObserving:
+    def test_metrics_tell_requests_by_rank_and_end(self):
+        async def scenario(fleet):
+            daemon = fleet.daemons[0]
+            await fleet.call(daemon)
+            for endpoint in fleet.endpoints.values():
+                endpoint.shed = 1
+            await fleet.call(daemon, **DESK)
+            reply = await fetch(daemon.settings.metrics, "/metrics")
+            lines = reply.body.decode().splitlines()
+            for line in (
+                'carawayvale_requests_total{kind="0/answered"} 1.0',
+                'carawayvale_requests_total{kind="1/refused"} 1.0',
+                'carawayvale_refusals_total{kind="1/no_endpoint"} 1.0',
+                'carawayvale_attempts_total{kind="1/not_run"} 1.0',
+                'carawayvale_endpoints{kind=""} 2.0',
+            ):
+                assert line in lines
+            text = reply.body.decode()
+            assert 'latency_seconds_count{hop="endpoint",rank="0"} 1.0' in text
+            assert "carawayvale_store_age_s" in text
+
+        play(scenario)
+
+    def test_state_tells_what_the_status_command_prints(self):
+        async def scenario(fleet):
+            reply = await fetch(fleet.daemons[0].settings.metrics, "/state")
+            line = format_state(json.loads(reply.body))
+            assert "name=e1" in line and "ready=True" in line
+
+        play(scenario)
+
+    def test_a_refusal_names_what_decided_it(self, monkeypatch):
+        lines = []
+
+        def record(event, level="INFO", **fields):
+            lines.append((event, fields))
+
+        monkeypatch.setattr(observer_module, "log_event", record)
+
+        async def scenario(fleet):
+            for endpoint in fleet.endpoints.values():
+                endpoint.shed = 9
+            await fleet.call(fleet.daemons[0], **DESK)
+
+        play(scenario)
+        fields = dict(lines)["request_refused"]
+        assert fields["asked"] == "desk-i-1:not_run"
+        assert fields["revision"] > 0 and fields["left_ms"] > 0
+        assert dict(lines)["request_run"]["outcome"] == "not_run"
+
+
 class TestLeaving:
     def test_a_draining_endpoint_gets_nothing_more(self):
         async def scenario(fleet):
--- a/carawayvale/gateway/tests/test_owned.py
+++ b/carawayvale/gateway/tests/test_owned.py
@@ -5,6 +5,7 @@
 from carawayvale.catalogue.records import Endpoint
 from carawayvale.catalogue.records import Service
 from carawayvale.contracts.address import Address
+from carawayvale.gateway.observer import RequestObserver
 from carawayvale.gateway.owned import OwnedEndpoint
 from carawayvale.platform.headers import DIALECT
 
@@ -14,11 +15,15 @@
 )
 
 
+def make_owned(endpoint):
+    return OwnedEndpoint(DIALECT, endpoint, SERVICE, RequestObserver())
+
+
 class TestColdTimes:
     def test_an_old_report_counts_once(self):
         """Other entries change for long after an endpoint was cold."""
         cold = replace(ENDPOINT, cold_s=3.0, heard_s=100.0)
-        owned = OwnedEndpoint(DIALECT, cold, SERVICE)
+        owned = make_owned(cold)
         owned.update(cold, SERVICE, 100.0)
         assert owned.queue.cold is not None
         for now_s in (102.0, 104.0, 106.0):
@@ -27,7 +32,7 @@
 
     def test_a_new_report_of_the_same_time_counts(self):
         cold = replace(ENDPOINT, cold_s=3.0, heard_s=100.0)
-        owned = OwnedEndpoint(DIALECT, cold, SERVICE)
+        owned = make_owned(cold)
         owned.update(cold, SERVICE, 100.0)
         owned.update(replace(cold, heard_s=110.0), SERVICE, 110.0)
         assert owned.queue.cold is not None
--- a/carawayvale/platform/__main__.py
+++ b/carawayvale/platform/__main__.py
@@ -8,13 +8,13 @@
 from carawayvale.gateway.daemon import GatewayDaemon
 from carawayvale.platform.headers import DIALECT
 from carawayvale.platform.settings import find_settings
+from carawayvale.platform.settings import KEY_VARIABLE
 from carawayvale.platform.settings import load_settings
 from carawayvale.platform.source import PlatformSource
 from carawayvale.telemetry.logs import log_event
 from carawayvale.telemetry.logs import start_logs
 from carawayvale.telemetry.sinks import BoundedSink
 
-KEY_VARIABLE = "CARAWAYVALE_KEY"
 EXIT_INVALID = 2
 
 
--- /dev/null
+++ b/carawayvale/platform/checks.py
@@ -0,0 +1,121 @@
+"""Checks the files that an operator hands to the platform."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from pathlib import Path
+import tomllib
+from typing import Any
+
+from carawayvale.catalogue.mirror import StoredItem
+from carawayvale.contracts.findings import Finding
+from carawayvale.contracts.findings import InvalidInput
+from carawayvale.contracts.findings import Place
+from carawayvale.platform.configuration import CONFIGURATION_KEY
+from carawayvale.platform.configuration import decode_configuration
+from carawayvale.platform.settings import KEY_VARIABLE
+from carawayvale.platform.settings import load_settings
+
+CALLERS_ROLE = "front"
+LOOKUP_ROLE = "directory"
+PEERS_ROLE = "control"
+REQUIRED_ROLES = (CALLERS_ROLE, LOOKUP_ROLE, PEERS_ROLE)
+MIN_KEY_LENGTH = 16
+
+
+def check_deploy_file(path: str) -> list[Finding]:
+    """Check the deploy file.
+
+    :param path: name of the file.
+    :returns: all findings.
+    """
+    try:
+        table = tomllib.loads(Path(path).read_text())
+    except (OSError, ValueError) as error:
+        return [Finding(Place(path), str(error))]
+    findings = []
+    if not isinstance(table.get("build"), str):
+        findings.append(Finding(Place(path, "", "build"), "is missing"))
+    roles = table.get("roles")
+    if not isinstance(roles, dict) or not roles:
+        findings.append(Finding(Place(path, "roles"), "no role is named"))
+        return findings
+    for name, role in roles.items():
+        findings += _check_role(path, f"roles.{name}", role)
+    served = {s for role in roles.values() for s in role.get("serves", ())}
+    findings += [
+        Finding(Place(path, "roles", "serves"), f"no role serves {wanted}")
+        for wanted in REQUIRED_ROLES
+        if wanted not in served
+    ]
+    return findings
+
+
+def _check_role(
+    path: str, section: str, role: dict[str, Any]
+) -> Iterable[Finding]:
+    for key, is_valid, message in ROLE_CHECKS:
+        if not is_valid(role.get(key)):
+            yield Finding(Place(path, section, key), message)
+    key = role.get("env", {}).get(KEY_VARIABLE, "")
+    if len(key) < MIN_KEY_LENGTH:
+        yield Finding(
+            Place(path, section, f"env.{KEY_VARIABLE}"),
+            f"must have {MIN_KEY_LENGTH} characters or more",
+        )
+
+
+def _is_command(value: Any) -> bool:
+    return isinstance(value, str) and bool(value.split())
+
+
+def _is_share(value: Any) -> bool:
+    return value is None or (isinstance(value, float) and 0 < value <= 1)
+
+
+def _is_metrics(value: Any) -> bool:
+    if value is None:
+        return True
+    port, _, page = str(value).partition("/")
+    return port.isdigit() and bool(page)
+
+
+ROLE_CHECKS: tuple[tuple[str, Callable[[Any], bool], str], ...] = (
+    ("run", _is_command, "must be a program and its arguments"),
+    ("on", _is_command, "must name a class of machines"),
+    ("share", _is_share, "must be above 0 and at most 1.0"),
+    ("metrics", _is_metrics, "must be PORT/PATH"),
+)
+
+
+def check_settings_file(path: str) -> list[Finding]:
+    """Check the settings file of a process.
+
+    :param path: name of the file.
+    :returns: all findings.
+    """
+    try:
+        load_settings(path)
+    except InvalidInput as error:
+        return list(error.findings)
+    return []
+
+
+def check_configuration_file(path: str) -> list[Finding]:
+    """Check a configuration as it lies in the store.
+
+    :param path: name of a file with its value.
+    :returns: all findings, with the file's name in place of the key.
+    """
+    try:
+        value = Path(path).read_bytes()
+        decode_configuration(StoredItem(CONFIGURATION_KEY, 0, value))
+    except OSError as error:
+        return [Finding(Place(path), str(error))]
+    except InvalidInput as error:
+        return [_relocate(finding, path) for finding in error.findings]
+    return []
+
+
+def _relocate(finding: Finding, path: str) -> Finding:
+    place = finding.place
+    return Finding(Place(path, place.section, place.key), finding.message)
--- a/carawayvale/platform/settings.py
+++ b/carawayvale/platform/settings.py
@@ -18,6 +18,7 @@
 from carawayvale.platform.units import read_field
 
 PATH_VARIABLE = "CARAWAYVALE_NODE_FILE"
+KEY_VARIABLE = "CARAWAYVALE_KEY"
 DEFAULT_PATH = "/etc/carawayvale/settings.json"
 
 # Ports of the project's own among those that the platform leaves free.
--- a/carawayvale/telemetry/__init__.py
+++ b/carawayvale/telemetry/__init__.py
@@ -4,6 +4,10 @@
 from carawayvale.exports import make_getattr
 
 MODULES = {
+    "exposition": (
+        "format_metrics",
+        "MetricsCollector",
+    ),
     "logs": (
         "format_event",
         "format_value",
