--- a/carawayvale/links/peer_link.py
+++ b/carawayvale/links/peer_link.py
@@ -147,6 +147,10 @@
         """
         while True:
             data = await self.outbox.get()
+            if self.protocol.state is not State.OPEN:
+                # The other side closes the link too; this answers it.
+                await self.flush()
+                raise LinkClosed("both sides closed the link")
             while data is not CLOSE_REQUEST:
                 self.protocol.send_binary(data)
                 if self.outbox.empty():
--- a/carawayvale/links/tests/test_peer_link.py
+++ b/carawayvale/links/tests/test_peer_link.py
@@ -3,6 +3,7 @@
 import curio
 from curio import socket
 import pytest
+from websockets.protocol import State
 
 from carawayvale.links import greet_client
 from carawayvale.links import greet_server
@@ -64,6 +65,51 @@
         curio.run(run)
 
 
+async def open_pair(first, second):
+    """Open a link between two sockets."""
+    server = await curio.spawn(greet_client, first, KEY, make_record("server"))
+    client = await greet_server(second, KEY, make_record("client"))
+    return await server.join(), client
+
+
+async def take_forever(link, message):
+    """Handle a message for as long as the test runs."""
+    await curio.sleep(60)
+
+
+class TestClosing:
+    @pytest.mark.parametrize("last", ["post", "close"])
+    def test_both_sides_may_close_at_once(self, last):
+        """The reader still handles a message when the writer goes on."""
+
+        async def run():
+            first, second = socket.socketpair()
+            async with first, second:
+                server, client = await open_pair(first, second)
+                reader = await curio.spawn(server.run, take_forever)
+                await client.send_now(Heartbeat(1, b"v", 2))
+                await curio.sleep(0.05)
+                client.protocol.send_close()
+                server.protocol.receive_data(
+                    b"".join(client.protocol.data_to_send())
+                )
+                if last == "post":
+                    await server.post(Heartbeat(1, b"v", 2))
+                else:
+                    await server.close()
+                async with curio.timeout_after(2.0):
+                    # The writer answers the close and ends the stream.
+                    while client.protocol.state is not State.CLOSED:
+                        data = await second.recv(4096)
+                        if not data:
+                            break
+                        client.protocol.receive_data(data)
+                assert client.protocol.close_rcvd is not None
+                await reader.cancel()
+
+        curio.run(run)
+
+
 async def pretend_server(sock, record):
     """Accept any hello and sign the welcome with another key."""
     from carawayvale.links import peer_link
