--- a/carawayvale/platform/checks.py
+++ b/carawayvale/platform/checks.py
@@ -14,6 +14,7 @@
 from carawayvale.platform.configuration import decode_configuration
 from carawayvale.platform.settings import KEY_VARIABLE
 from carawayvale.platform.settings import load_settings
+from carawayvale.platform.settings import METRICS_VARIABLE
 
 CALLERS_ROLE = "front"
 LOOKUP_ROLE = "directory"
@@ -56,7 +57,14 @@
     for key, is_valid, message in ROLE_CHECKS:
         if not is_valid(role.get(key)):
             yield Finding(Place(path, section, key), message)
-    key = role.get("env", {}).get(KEY_VARIABLE, "")
+    env = role.get("env", {})
+    port = str(role.get("metrics", "")).partition("/")[0]
+    if port != env.get(METRICS_VARIABLE, ""):
+        yield Finding(
+            Place(path, section, f"env.{METRICS_VARIABLE}"),
+            f"must be the port of metrics, {port or 'not set'}",
+        )
+    key = env.get(KEY_VARIABLE, "")
     if len(key) < MIN_KEY_LENGTH:
         yield Finding(
             Place(path, section, f"env.{KEY_VARIABLE}"),
--- a/carawayvale/platform/settings.py
+++ b/carawayvale/platform/settings.py
@@ -18,12 +18,16 @@
 from carawayvale.platform.units import read_field
 
 PATH_VARIABLE = "CARAWAYVALE_NODE_FILE"
+METRICS_VARIABLE = "CARAWAYVALE_METRICS_PORT"
 KEY_VARIABLE = "CARAWAYVALE_KEY"
 DEFAULT_PATH = "/etc/carawayvale/settings.json"
 
-# Ports of the project's own among those that the platform leaves free.
+# Port of the project's own among those that the platform leaves free.
 INTERNAL_OFFSET = 0
-METRICS_OFFSET = 1
+
+# The deploy file names the port for metrics, so it is the same on all
+# days; this one holds if the variable is not set.
+DEFAULT_METRICS_PORT = 9464
 
 BOUND_FIELDS: dict[str, tuple[str, Callable[[str], float]]] = {
     "stable_window": ("stable_s", parse_duration),
@@ -102,6 +106,14 @@
     return decode
 
 
+def _read_metrics_port(table: Any) -> Address:
+    text = os.environ.get(METRICS_VARIABLE, "")
+    if text and not text.isdigit():
+        raise ValueError(f"{METRICS_VARIABLE} is no port: {text!r}")
+    port = int(text) if text else DEFAULT_METRICS_PORT
+    return Address(read_field(table, "ip", str), port)
+
+
 def _read_text(name: str) -> Callable[[Any], str]:
     def decode(table: Any) -> str:
         return read_field(table, name, str)
@@ -152,7 +164,7 @@
     "readiness": _read_port("ready"),
     "peers": _read_port("control"),
     "internal": _read_inner_port(INTERNAL_OFFSET),
-    "metrics": _read_inner_port(METRICS_OFFSET),
+    "metrics": _read_metrics_port,
     "seeds": _read_seeds,
     "store": _read_store,
     "bounds": _read_bounds,
--- a/carawayvale/platform/tests/test_checks.py
+++ b/carawayvale/platform/tests/test_checks.py
@@ -43,8 +43,13 @@
 
     def test_metrics_need_port_and_path(self, tmp_path):
         path = tmp_path / "s.toml"
-        assert find(path, GOOD + 'metrics = "7621/metrics"\n') == []
-        assert "PORT/PATH" in find(path, GOOD + 'metrics = "x"\n')[0]
+        env = '", CARAWAYVALE_METRICS_PORT = "9464" }'
+        good = GOOD.replace('" }', env) + 'metrics = "9464/metrics"\n'
+        assert find(path, good) == []
+        found = find(path, good.replace("9464/", "9465/"))
+        assert "must be the port of metrics, 9465" in found[0]
+        found = find(path, GOOD + 'metrics = "x"\n')
+        assert "PORT/PATH" in str(found)
 
 
 class TestOtherFiles:
