Keep requests with homes off instances of third regions

Cause: found by a test for the rule on homes that was missing. Where a home region has no live instance, its endpoints were owned by whichever instance ranks first, and requests with homes were forwarded there; and a look-up without an instance in the caller's region named all instances.

Change: the owners of a request with homes are instances of the homes or the instance that has it; such look-ups name the homes' instances.

Tests: TestHomes (two failed first), TestConfiguration.

--- a/carawayvale/gateway/caller_port.py
+++ b/carawayvale/gateway/caller_port.py
@@ -222,7 +222,8 @@
         self, flight: Flight, endpoint: Endpoint, order: Order
     ) -> Result | None:
         """Send the request to the owner, or to the next if it is silent."""
-        for owner in self.node.list_owners(endpoint)[:OWNER_TRIES]:
+        owners = self.node.list_owners(endpoint, flight.route.homes)
+        for owner in owners[:OWNER_TRIES]:
             try:
                 return await serve_at(self.node, owner, order, endpoint.name)
             except OwnerUnreachable as error:
--- a/carawayvale/gateway/node.py
+++ b/carawayvale/gateway/node.py
@@ -194,10 +194,14 @@
         log_event("endpoint_owned", endpoint=name, service=service.name)
         return owned
 
-    def list_owners(self, endpoint: Endpoint) -> list[str]:
+    def list_owners(
+        self, endpoint: Endpoint, homes: frozenset[str] = frozenset()
+    ) -> list[str]:
         """List the instances that may send to an endpoint, owner first.
 
         :param endpoint: the endpoint.
+        :param homes: regions that may see the request; empty for all.
+            This instance has it already.
         :returns: names of instances that were not found silent.
         """
         order: Iterable[str] = self.ownership.orders.get(endpoint.name, ())
@@ -209,9 +213,16 @@
         return [
             name
             for name in order
-            if now_s >= self.shunned_s.get(name, 0.0) and self.is_heard(name)
+            if now_s >= self.shunned_s.get(name, 0.0)
+            and self.is_heard(name)
+            and self._may_see(name, homes)
         ]
 
+    def _may_see(self, name: str, homes: frozenset[str]) -> bool:
+        if not homes or name == self.settings.name:
+            return True
+        return self.membership.records[name].region in homes
+
     def is_heard(self, name: str) -> bool:
         """Tell whether an instance is not suspected to be silent.
 
@@ -287,14 +298,15 @@
         return budget
 
     def list_callers_instances(
-        self, domain: str, region: str
+        self, domain: str, region: str, host: str = ""
     ) -> list[MemberRecord]:
         """List the instances that a caller should use.
 
         :param domain: the caller's failure domain.
         :param region: the caller's region.
+        :param host: the host that it wants.
         :returns: those of its failure domain; else those of its region;
-            else all.
+            else those of the host's homes; else all.
         """
         live = [
             r
@@ -305,4 +317,5 @@
         near = [r for r in live if r.domain == domain]
         if len(near) < 2:
             near = [r for r in live if r.region == region]
-        return near or live
+        homes = self.routes.find_homes(host)
+        return near or [r for r in live if r.region in homes] or live
--- a/carawayvale/gateway/small_ports.py
+++ b/carawayvale/gateway/small_ports.py
@@ -43,7 +43,7 @@
             return Answer(HTTP_NOT_FOUND)
         lookup = decode_lookup(request.query)
         records = self.node.list_callers_instances(
-            lookup.domain, lookup.region
+            lookup.domain, lookup.region, lookup.host
         )
         addresses = [record.callers for record in records][:MAX_ADDRESSES]
         if not addresses:
--- a/carawayvale/gateway/tests/fleet.py
+++ b/carawayvale/gateway/tests/fleet.py
@@ -20,7 +20,7 @@
 from carawayvale.platform.tests.standins import FakeStore
 from carawayvale.platform.tests.standins import open_port
 
-REGIONS = {"zrh-a": "zurich", "gva-a": "geneva"}
+REGIONS = {"zrh-a": "zurich", "gva-a": "geneva", "lug-a": "lugano"}
 POLL_S = 0.02
 WAIT_S = 20.0
 MAX_BYTES = 1 << 20
@@ -71,9 +71,10 @@
         self.number = 0
         self.store_address = None
 
-    async def open_store(self):
-        """Open the store with a configuration."""
-        self.store.put("op/config", CONFIGURATION)
+    async def open_store(self, configured):
+        """Open the store, with a configuration or without."""
+        if configured:
+            self.store.put("op/config", CONFIGURATION)
         listener = open_port(self.store.handle)
         self.store_address = listener.address
         self.tasks.append(await curio.spawn(listener.run, daemon=True))
@@ -145,17 +146,21 @@
 
 
 @asynccontextmanager
-async def open_fleet(instances=1, endpoints=("i-1",)):
+async def open_fleet(
+    instances=1, endpoints=("i-1",), domains=("zrh-a",), configured=True
+):
     """Open a fleet with a store, and end all its tasks afterwards."""
     fleet = Fleet()
-    await fleet.open_store()
+    await fleet.open_store(configured)
     for name in endpoints:
         await fleet.add_endpoint(name)
         await fleet.add_endpoint(f"desk-{name}", "desk")
     for number in range(instances):
-        await fleet.add_instance(f"e{number + 1}")
+        domain = domains[number % len(domains)]
+        await fleet.add_instance(f"e{number + 1}", domain)
     try:
-        await fleet.wait_ready()
+        if configured:
+            await fleet.wait_ready()
         yield fleet
     finally:
         for task in fleet.tasks:
--- a/carawayvale/gateway/tests/test_fleet.py
+++ b/carawayvale/gateway/tests/test_fleet.py
@@ -15,6 +15,7 @@
 from carawayvale.links.connections import ConnectionPool
 from carawayvale.links.connections import OutgoingCall
 from carawayvale.links.http import connect
+from carawayvale.platform.tests.examples import CONFIGURATION
 from carawayvale.steering.admission import Job
 
 DESK = {"host": b"jepu9.example", "path": "/puka/1", "method": "POST"}
@@ -81,6 +82,80 @@
         play(scenario)
 
 
+class TestConfiguration:
+    def test_without_one_requests_are_refused_not_denied(self):
+        async def scenario(fleet):
+            daemon = fleet.daemons[0]
+            await fleet.wait_until(lambda: daemon.feed.complete)
+            reply = await fleet.call(daemon)
+            assert reply.head.status == 503
+            assert float(reply.head.find(b"retry-after")) > 0
+            ready = await fetch(daemon.settings.readiness, "/ready")
+            assert ready.head.status == 503
+
+        play(scenario, configured=False)
+
+    def test_a_late_one_is_taken_up(self):
+        async def scenario(fleet):
+            daemon = fleet.daemons[0]
+            fleet.store.put("op/config", CONFIGURATION)
+            await fleet.wait_until(lambda: daemon.node.is_ready)
+            assert (await fleet.call(daemon)).head.status == 200
+
+        play(scenario, configured=False)
+
+
+class TestHomes:
+    """The route of desk may only be served in zurich."""
+
+    def test_endpoints_elsewhere_are_not_used(self):
+        async def scenario(fleet):
+            await fleet.add_endpoint("desk-far", "desk", "gva-a")
+            node = fleet.daemons[0].node
+            await fleet.wait_until(
+                lambda: "desk-far" in node.catalogue.endpoints
+            )
+            for key in range(8):
+                reply = await fleet.call(
+                    fleet.daemons[0], key=b"%d" % key, **DESK
+                )
+                assert reply.head.status == 200
+            assert not fleet.endpoints["desk-far"].runs
+
+        play(scenario, domains=("gva-a",))
+
+    def test_look_ups_name_the_homes_where_a_region_has_no_instance(self):
+        async def scenario(fleet):
+            question = "/resolve?name={}&region=lugano&zone=lug-a"
+            port = fleet.daemons[0].settings.lookups
+            reply = await fetch(port, question.format("jepu9.example"))
+            home = str(fleet.daemons[0].settings.callers)
+            assert json.loads(reply.body)["addresses"] == [home]
+            reply = await fetch(port, question.format("hulo.example"))
+            assert len(json.loads(reply.body)["addresses"]) == 2
+
+        play(scenario, instances=2, domains=("zrh-a", "gva-a"))
+
+    def test_no_instance_of_a_third_region_gets_the_request(self):
+        """No instance of the home is left, so others own its endpoints."""
+
+        async def scenario(fleet):
+            near, far = fleet.daemons
+            for key in range(12):
+                reply = await fleet.call(near, key=b"%d" % key, **DESK)
+                assert reply.head.status == 200
+            owned = [n for n in far.node.owned if n.startswith("desk")]
+            assert not owned
+
+        names = tuple(f"i-{n}" for n in range(6))
+        play(
+            scenario,
+            instances=2,
+            endpoints=names,
+            domains=("gva-a", "lug-a"),
+        )
+
+
 class TestRetries:
     def test_a_shed_request_goes_to_another_endpoint(self):
         async def scenario(fleet):
--- a/carawayvale/steering/routing.py
+++ b/carawayvale/steering/routing.py
@@ -38,6 +38,18 @@
                 return route
         return None
 
+    def find_homes(self, host: str) -> frozenset[str]:
+        """Find the regions that may serve all requests of a host.
+
+        :param host: name of the host in lower case.
+        :returns: the homes that its routes have in common; empty if any
+            of them may be served everywhere, or none is known.
+        """
+        listed = [route.homes for route in self.hosts.get(host, ())]
+        if not listed or not all(listed):
+            return frozenset()
+        return frozenset.intersection(*listed)
+
 
 def choose_part(route: Route, request_id: str) -> Part:
     """Choose the service of a request by the weights of a split.
