Log callers that leave, and what libraries report, as lines of our own

A crashed task wrote a traceback of twenty lines and the event loop a line for each slightly late timeout; errors of libraries are one structured line now, their warnings are left out.

Tests: test_a_caller_that_leaves_is_logged failed first, TestLibraryLogs.

--- a/carawayvale/gateway/caller_port.py
+++ b/carawayvale/gateway/caller_port.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+import curio
+
 from carawayvale.catalogue.records import Endpoint
 from carawayvale.catalogue.records import Route
 from carawayvale.contracts.clock import read_boot_clock
@@ -85,12 +87,27 @@
             request, route, service, self._make_order(request, route)
         )
         self.node.find_budget(service).record_request(request.arrived_s)
-        result = await self._run(flight) or flight.spare
+        try:
+            result = await self._run(flight) or flight.spare
+        except curio.CancelledError:
+            self._note_abandoned(flight)
+            raise
         if result is not None:
             self._note_answer(flight, result)
             return Answer(result.status, result.headers, result.body)
         return self._give_up(flight)
 
+    def _note_abandoned(self, flight: Flight) -> None:
+        request = flight.request
+        self.node.observer.note_abandoned(
+            flight.route.rank,
+            request.find_text(self.dialect.request_id),
+            read_boot_clock() - request.arrived_s,
+            route=flight.route.name,
+            asked=flight.describe_asked(),
+            left_ms=format_ms(flight.order.limit_s - read_boot_clock()),
+        )
+
     def _note_answer(self, flight: Flight, result: Result) -> None:
         request = flight.request
         self.node.observer.note_answer(
@@ -189,6 +206,7 @@
                 flight.asked.append((name, "known_full"))
                 continue
             order = replace(order, may_learn=keeps)
+            flight.asking = name
             result = await self._try_owners(flight, endpoint, order)
             self._note_attempt(flight, name, result)
             if result is None or result.outcome in NOT_THERE:
@@ -215,6 +233,7 @@
         self, flight: Flight, name: str, result: Result | None
     ) -> None:
         outcome = result.outcome.value if result else "no_owner"
+        flight.asking = ""
         flight.asked.append((name, outcome))
         self.node.observer.note_attempt(flight.route.rank, outcome)
 
--- a/carawayvale/gateway/flight.py
+++ b/carawayvale/gateway/flight.py
@@ -26,6 +26,7 @@
         first that is usable.
     :param spared: endpoints that fail many, kept for later.
     :param asked: owners' answers, for the log.
+    :param asking: the endpoint whose owner has it now.
     :param spare: an error answer, kept in case nothing better comes.
     """
 
@@ -40,6 +41,7 @@
     keepers: dict[str, str] = field(default_factory=dict)
     spared: list[Endpoint] = field(default_factory=list)
     asked: list[tuple[str, str]] = field(default_factory=list)
+    asking: str = ""
     spare: Result | None = None
 
     def describe_asked(self) -> str:
@@ -48,4 +50,6 @@
         :returns: ``endpoint:outcome`` pairs; a dash if none was asked.
         """
         pairs = [f"{name}:{outcome}" for name, outcome in self.asked]
+        if self.asking:
+            pairs.append(f"{self.asking}:waits")
         return ",".join(pairs) or "-"
--- a/carawayvale/gateway/observer.py
+++ b/carawayvale/gateway/observer.py
@@ -102,6 +102,25 @@
             **fields,
         )
 
+    def note_abandoned(
+        self, rank: int, request_id: str, took_s: float, **fields: object
+    ) -> None:
+        """Record that a caller left before it had an answer.
+
+        :param rank: rank of the route.
+        :param request_id: id of the request.
+        :param took_s: seconds since its head arrived.
+        :param fields: further fields of the log line.
+        """
+        self.metrics.count("requests", f"{rank}/abandoned")
+        log_event(
+            "request_abandoned",
+            request=request_id,
+            rank=rank,
+            took_ms=format_ms(took_s),
+            **fields,
+        )
+
     def note_attempt(self, rank: int, outcome: str) -> None:
         """Count one owner's answer to a request of this instance.
 
--- a/carawayvale/gateway/tests/test_fleet.py
+++ b/carawayvale/gateway/tests/test_fleet.py
@@ -269,13 +269,33 @@
 
         play(scenario)
 
-    def test_a_refusal_names_what_decided_it(self, monkeypatch):
+    def record_lines(self, monkeypatch):
+        """Record the observer's log lines as (event, fields)."""
         lines = []
 
         def record(event, level="INFO", **fields):
             lines.append((event, fields))
 
         monkeypatch.setattr(observer_module, "log_event", record)
+        return lines
+
+    def test_a_caller_that_leaves_is_logged(self, monkeypatch):
+        lines = self.record_lines(monkeypatch)
+
+        async def scenario(fleet):
+            fleet.endpoints["i-1"].work_s = 2.0
+            call = await curio.spawn(fleet.call, fleet.daemons[0], daemon=True)
+            await fleet.wait_until(lambda: fleet.endpoints["i-1"].runs)
+            await call.cancel()
+            await fleet.wait_until(lambda: lines)
+
+        play(scenario)
+        fields = dict(lines)["request_abandoned"]
+        assert fields["request"] == "id-1"
+        assert fields["asked"] == "i-1:waits"
+
+    def test_a_refusal_names_what_decided_it(self, monkeypatch):
+        lines = self.record_lines(monkeypatch)
 
         async def scenario(fleet):
             for endpoint in fleet.endpoints.values():
--- a/carawayvale/telemetry/__init__.py
+++ b/carawayvale/telemetry/__init__.py
@@ -9,8 +9,10 @@
         "MetricsCollector",
     ),
     "logs": (
+        "adopt_library_logs",
         "format_event",
         "format_value",
+        "LibraryHandler",
         "log_event",
         "start_logs",
     ),
--- a/carawayvale/telemetry/logs.py
+++ b/carawayvale/telemetry/logs.py
@@ -1,5 +1,6 @@
 """Structured logs: one line of key=value pairs for each event."""
 
+import logging
 import sys
 from typing import Any
 
@@ -24,6 +25,38 @@
     logger.add(sink or sys.stderr, level=level, format=LINE_FORMAT)
 
 
+class LibraryHandler(logging.Handler):
+    """Writes what libraries report as events of our own.
+
+    A traceback is told by its exception, so that it stays one line.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record.
+
+        :param record: what a library reports.
+        """
+        cause = record.exc_info[1] if record.exc_info else None
+        log_event(
+            "library_report",
+            record.levelname,
+            library=record.name,
+            message=record.getMessage(),
+            cause=repr(cause),
+        )
+
+
+def adopt_library_logs() -> None:
+    """Let errors of libraries be lines of our own log.
+
+    Their warnings are left out: the event loop has one for each timeout
+    that a finished operation passed by a little.
+    """
+    logging.basicConfig(
+        level=logging.ERROR, handlers=[LibraryHandler()], force=True
+    )
+
+
 def format_value(value: Any) -> str:
     """Write a value so that it stands after a key.
 
--- /dev/null
+++ b/carawayvale/telemetry/tests/test_logs.py
@@ -0,0 +1,42 @@
+"""Tests of log lines."""
+
+import logging
+
+import curio
+from loguru import logger
+import pytest
+
+from carawayvale.telemetry.logs import adopt_library_logs
+
+
+@pytest.fixture
+def lines():
+    """Take the lines of a test."""
+    taken = []
+    number = logger.add(taken.append, format="{level.name} {message}")
+    root = logging.getLogger()
+    before = root.level, list(root.handlers)
+    adopt_library_logs()
+    yield taken
+    logger.remove(number)
+    root.setLevel(before[0])
+    root.handlers[:] = before[1]
+
+
+class TestLibraryLogs:
+    def test_a_crashed_task_is_one_line(self, lines):
+        async def crash():
+            raise ValueError("broken\nin two")
+
+        async def run():
+            task = await curio.spawn(crash)
+            await task.wait()
+
+        curio.run(run)
+        assert len(lines) == 1
+        assert lines[0].startswith("ERROR event=library_report library=curio")
+        assert "ValueError" in lines[0] and lines[0].count("\n") == 1
+
+    def test_warnings_are_left_out(self, lines):
+        logging.getLogger("curio.kernel").warning("a little late")
+        assert lines == []
