--- /dev/null
+++ b/carawayvale/commands/tests/test_drains.py
@@ -0,0 +1,91 @@
+"""Tests of planned stops of real processes."""
+
+import signal
+import time
+
+import pytest
+
+from benchmarks.deployment import call
+from benchmarks.deployment import Deployment
+from benchmarks.load import Load
+from benchmarks.load import MIX
+from carawayvale.commands.tests.processes import check_ledgers
+from carawayvale.commands.tests.processes import is_cut
+from carawayvale.commands.tests.processes import SMALL
+from carawayvale.commands.tests.processes import SUBMISSION
+from carawayvale.commands.tests.processes import WARM_S
+from carawayvale.standins import Call
+
+
+class TestDrains:
+    def test_rolling_restart_fails_no_request(self, small):
+        with Load(small, MIX) as load:
+            time.sleep(WARM_S)
+            for name in SMALL:
+                process = small.processes[name]
+                small.signal(name, signal.SIGTERM)
+                small.wait_until(
+                    lambda p=process: not p.is_running, f"{name} still runs"
+                )
+                assert process.popen.returncode == 0
+                assert "waited_for=nothing" in process.log.read_text()
+                small.start_entry(name)
+                small.wait_until_whole()
+        assert len(load.made) > 100
+        assert load.list_bad() == []
+        cut = [m for m in load.made if is_cut(m.result.reason)]
+        assert cut == []
+        check_ledgers(small, load)
+
+    def test_backend_drained_by_the_document_gets_no_new_work(self, small):
+        with Load(small, [Call("grids")], region="zurich") as load:
+            time.sleep(WARM_S)
+            result = small.edit_as(
+                "grids", "endpoint:grids-zurich-a1", "draining=yes"
+            )
+            assert result.returncode == 0, result.stderr
+            time.sleep(0.5)
+            before = small.read_ledgers("grids-zurich-a1")
+            time.sleep(1.0)
+            after = small.read_ledgers("grids-zurich-a1")
+        name = "grids-zurich-a1"
+        assert before[name]["served"] > 0
+        assert after[name]["served"] == before[name]["served"]
+        assert load.list_bad() == []
+
+    @pytest.mark.parametrize("source", ["answers", "list"])
+    def test_backend_drained_by_another_sign_gets_no_new_work(
+        self, small, source
+    ):
+        name = "grids-zurich-a1"
+        with Load(small, [Call("grids")], region="zurich") as load:
+            time.sleep(WARM_S)
+            if source == "answers":
+                small.set_backend_faults(name, draining=True)
+            else:
+                body = {"leaving": True}
+                target = f"/v1/instances/{name}"
+                call(small.store_port, "PUT", target, body)
+            time.sleep(3.0)
+            before = small.read_ledgers(name)[name]["served"]
+            time.sleep(1.0)
+            after = small.read_ledgers(name)[name]["served"]
+        assert before > 0
+        assert after == before
+        assert load.list_bad() == []
+
+    def test_stuck_drain_ends_by_its_bound(self, tmp_path):
+        options = "drain_limit_s = 2\n"
+        with Deployment(
+            tmp_path, ("zurich-1",), service_ms=8000, options=options
+        ) as deployment:
+            with Load(deployment, [SUBMISSION], 1, region="zurich"):
+                time.sleep(WARM_S)
+                process = deployment.processes["zurich-1"]
+                deployment.signal("zurich-1", signal.SIGTERM)
+                deployment.wait_until(
+                    lambda: not process.is_running, "still runs"
+                )
+            log = process.log.read_text()
+            assert "event=drain_limit_reached" in log
+            assert 'waited_for="1 requests in flight"' in log
--- a/carawayvale/telemetry/__init__.py
+++ b/carawayvale/telemetry/__init__.py
@@ -5,6 +5,7 @@
 
 MODULES = {
     "exposition": (
+        "collect_families",
         "format_metrics",
         "MetricsCollector",
     ),
--- a/carawayvale/telemetry/exposition.py
+++ b/carawayvale/telemetry/exposition.py
@@ -1,10 +1,13 @@
 """Writes metrics in the Prometheus text format."""
 
+from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
 
 from prometheus_client import CollectorRegistry
 from prometheus_client.core import CounterMetricFamily
 from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.core import Metric
 from prometheus_client.core import SummaryMetricFamily
 from prometheus_client import generate_latest
 from prometheus_client.registry import Collector
@@ -13,6 +16,10 @@
 from carawayvale.telemetry.metrics import US_PER_S
 
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
+NOTES = {
+    CounterMetricFamily: "Number since the start",
+    GaugeMetricFamily: "Present value",
+}
 
 
 class MetricsCollector(Collector):
@@ -29,34 +36,11 @@
 
         :returns: families for the exposition library.
         """
-        yield from self._collect_counters()
-        yield from self._collect_gauges()
+        metrics = self.metrics
+        yield from collect_families(metrics.counters, CounterMetricFamily)
+        yield from collect_families(metrics.gauges, GaugeMetricFamily)
         yield self._collect_latencies()
 
-    def _collect_counters(self) -> Iterator[CounterMetricFamily]:
-        families: dict[str, CounterMetricFamily] = {}
-        for (name, label), number in sorted(self.metrics.counters.items()):
-            family = families.get(name)
-            if family is None:
-                family = CounterMetricFamily(
-                    f"carawayvale_{name}", f"Number of {name}", labels=["kind"]
-                )
-                families[name] = family
-            family.add_metric([label], number)
-        yield from families.values()
-
-    def _collect_gauges(self) -> Iterator[GaugeMetricFamily]:
-        families: dict[str, GaugeMetricFamily] = {}
-        for (name, label), value in sorted(self.metrics.gauges.items()):
-            family = families.get(name)
-            if family is None:
-                family = GaugeMetricFamily(
-                    f"carawayvale_{name}", f"Present {name}", labels=["kind"]
-                )
-                families[name] = family
-            family.add_metric([label], value)
-        yield from families.values()
-
     def _collect_latencies(self) -> SummaryMetricFamily:
         family = SummaryMetricFamily(
             "carawayvale_latency_seconds",
@@ -80,6 +64,25 @@
         return family
 
 
+def collect_families(
+    values: Mapping[tuple[str, str], float],
+    make: type[CounterMetricFamily | GaugeMetricFamily],
+) -> Iterable[Metric]:
+    """Group values by the name of their metric.
+
+    :param values: values by name and kind.
+    :param make: class of the families.
+    :returns: one family for each name.
+    """
+    families: dict[str, Metric] = {}
+    for (name, kind), value in sorted(values.items()):
+        if name not in families:
+            full = f"carawayvale_{name}"
+            families[name] = make(full, NOTES[make], labels=["kind"])
+        families[name].add_metric([kind], value)
+    return families.values()
+
+
 def format_metrics(metrics: Metrics) -> bytes:
     """Write all metrics in the Prometheus text format.
 
