--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -19,6 +19,7 @@
 from benchmarks.drains import measure_drains
 from benchmarks.drains import measure_whole
 from benchmarks.floods import measure_floods
+from benchmarks.logs import measure_logs
 from benchmarks.reports import LESS
 from benchmarks.reports import make_row
 from benchmarks.reports import Row
@@ -48,6 +49,7 @@
     "drains": measure_drains,
     "whole": measure_whole,
     "stalls": measure_stalls,
+    "logs": measure_logs,
 }
 
 
