Tell peers that a lapsed endpoint is back

Entries lapse while the store is away and come back after it.

Change: the return of a lapsed entry is news.

Test: test_peers_hear_that_a_lapsed_entry_is_back, failed first.

--- a/carawayvale/catalogue/keeper.py
+++ b/carawayvale/catalogue/keeper.py
@@ -172,12 +172,13 @@
             )
             return False
         self.lives[new.name] = Life(new.started_ms, new.sequence)
-        self.lapsed_until_s.pop(new.name, None)
+        returned = self.lapsed_until_s.pop(new.name, None) is not None
         old = self.endpoints.get(new.name)
         new = replace(new, heard_s=now_s)
         self.endpoints[new.name] = new
         if old is not None and is_heartbeat(old, new):
-            return False
+            # Peers that heard of the lapse must hear of the return.
+            return returned
         self.changed = True
         if old is None or old.state is not new.state:
             log_event(
--- a/carawayvale/catalogue/tests/test_keeper.py
+++ b/carawayvale/catalogue/tests/test_keeper.py
@@ -169,6 +169,23 @@
         world.keeper.advance(15.0 + RETURN_S)
         assert "i-1" in world.endpoints
 
+    def test_peers_hear_that_a_lapsed_entry_is_back(self):
+        """They heard that it lapsed; its report is no mere heartbeat."""
+        feeder, peer = self.make_world(), self.make_world()
+        back = EndpointRead("i-1", replace(ENDPOINT, sequence=9))
+        for now_s, reading in (
+            (15.0, EndpointRead("i-1", None)),
+            (16.0, back),
+        ):
+            feeder.revision += 1
+            item = StoredItem("servers/i-1", feeder.revision, b"")
+            feeder.source.readings[item.revision] = reading
+            peer.source.readings[item.revision] = reading
+            told = feeder.keeper.apply([item], now_s)
+            peer.keeper.apply(told, now_s)
+        peer.keeper.advance(15.0 + RETURN_S)
+        assert "i-1" in peer.endpoints
+
     def test_an_entry_that_stays_away_is_gone(self):
         world = self.make_world()
         world.tell(EndpointRead("i-1", None), 15.0)
