Parse addresses of the platform with the project's own check

units.parse_address wrote the check of contracts.fields again, and weaker: a port of 99999 or a host name passed, and the first connection to it would have raised OverflowError or asked for a name. Both are refused as malformed entries now; two cases more in the test, which failed before.

--- a/carawayvale/platform/tests/test_decoding.py
+++ b/carawayvale/platform/tests/test_decoding.py
@@ -57,6 +57,8 @@
         [
             (("address",), None),
             (("address",), "10.0.0.1"),
+            (("address",), "10.0.0.1:99999"),
+            (("address",), "somewhere:80"),
             (("born",), "yesterday"),
             (("born",), 1.5),
             (("info", "zone"), "elsewhere"),
--- a/carawayvale/platform/units.py
+++ b/carawayvale/platform/units.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from carawayvale.contracts.address import Address
+from carawayvale.contracts import fields
 
 DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)\Z")
 MS_PER_S = 1000.0
@@ -36,10 +37,10 @@
     """
     if not isinstance(value, str):
         raise ValueError(f"{value!r} is not an address")
-    host, colon, port = value.rpartition(":")
-    if not colon or not host or not port.isdigit():
-        raise ValueError(f"{value!r} is not an address")
-    return Address(host, int(port))
+    try:
+        return fields.parse_address(value)
+    except ValueError as error:
+        raise ValueError(f"{value!r} is not an address: {error}") from None
 
 
 def read_field(table: Any, name: str, kind: type | tuple[type, ...]) -> Any:
