Work out a log line's fields only if it is written

Each served request joined its list of asked endpoints and looked for its id in the headers three times, for a line that one in 64 writes; the four ends of a request stood four times in the observer. Now the id is looked up once and kept with the request, one method records every end, and what a line says is made by a function that is called if the line is written. 'The answer of a sound endpoint' is a property of the result instead of three comparisons. Lines keep their fields.

Mended on the way: an ejection by the check of an overdue request was logged but not counted; both kinds go through one method.

--- a/carawayvale/gateway/caller_port.py
+++ b/carawayvale/gateway/caller_port.py
@@ -14,7 +14,8 @@
 from carawayvale.gateway.http_port import Answer
 from carawayvale.gateway.http_port import Request
 from carawayvale.gateway.node import GatewayNode
-from carawayvale.gateway.observer import format_ms
+from carawayvale.gateway.observer import Describe
+from carawayvale.gateway.observer import End
 from carawayvale.gateway.owned import Order
 from carawayvale.gateway.upstream import Outcome
 from carawayvale.gateway.upstream import Result
@@ -54,7 +55,6 @@
 HTTP_BAD_GATEWAY = 502
 HTTP_UNAVAILABLE = 503
 HTTP_GATEWAY_TIMEOUT = 504
-HTTP_SERVER_ERROR = 500
 
 
 class CallerPort:
@@ -83,41 +83,32 @@
         if not request_id:
             return self._make_answer(request, HTTP_BAD_REQUEST)
         service = choose_part(route, request_id).service
-        flight = Flight(
-            request, route, service, self._make_order(request, route)
-        )
+        order = self._make_order(request, route)
+        flight = Flight(request, request_id, route, service, order)
         self.node.find_budget(service).record_request(request.arrived_s)
         try:
             result = await self._run(flight) or flight.spare
         except curio.CancelledError:
-            self._note_abandoned(flight)
+            self._note_end(
+                flight,
+                End.ABANDONED,
+                lambda: flight.describe_abandoned(read_boot_clock()),
+            )
             raise
-        if result is not None:
-            self._note_answer(flight, result)
-            return Answer(result.status, result.headers, result.body)
-        return self._give_up(flight)
-
-    def _note_abandoned(self, flight: Flight) -> None:
-        request = flight.request
-        self.node.observer.note_abandoned(
-            flight.route.rank,
-            request.find_text(self.dialect.request_id),
-            read_boot_clock() - request.arrived_s,
-            route=flight.route.name,
-            asked=flight.describe_asked(),
-            left_ms=format_ms(flight.order.limit_s - read_boot_clock()),
+        if result is None:
+            return self._give_up(flight)
+        took_s = read_boot_clock() - request.arrived_s
+        self.node.observer.note_answer_time(route.rank, took_s)
+        self._note_end(
+            flight,
+            End.ANSWERED,
+            lambda: flight.describe_answer(result, took_s),
         )
+        return Answer(result.status, result.headers, result.body)
 
-    def _note_answer(self, flight: Flight, result: Result) -> None:
-        request = flight.request
-        self.node.observer.note_answer(
-            flight.route.rank,
-            request.find_text(self.dialect.request_id),
-            read_boot_clock() - request.arrived_s,
-            route=flight.route.name,
-            status=result.status,
-            asked=flight.describe_asked(),
-        )
+    def _note_end(self, flight: Flight, end: End, describe: Describe) -> None:
+        rank = flight.route.rank
+        self.node.observer.note_end(end, rank, flight.request_id, describe)
 
     def _make_order(self, request: Request, route: Route) -> Order:
         left_s = DEFAULT_LEFT_S
@@ -167,10 +158,7 @@
             and e.domain not in node.catalogue.evacuated
             and (not homes or e.region in homes)
         ]
-        order = flight.order
-        key = order.key
-        if not key:
-            key = flight.request.find_text(self.dialect.request_id)
+        key = flight.order.key or flight.request_id
         region = node.settings.region
         ordered = order_endpoints(usable, f"{flight.service}|{key}", region)
         local = [e for e in ordered if e.region == region]
@@ -196,9 +184,9 @@
             away = endpoint.region != node.settings.region
             if away and not node.shift.allows(now_s):
                 continue
-            if endpoint.name in flight.tried:
-                continue
             region, name = endpoint.region, endpoint.name
+            if name in flight.tried:
+                continue
             keeps = flight.keepers.setdefault(region, name) == name
             finish_s = node.find_full(endpoint, now_s)
             if finish_s is not None and not order.may_be_late:
@@ -214,7 +202,7 @@
                     del flight.keepers[region]
                 continue
             if result.outcome is Outcome.FULL:
-                flight.full[endpoint.name] = result.finish_s
+                flight.full[name] = result.finish_s
                 if result.busy:
                     node.note_full(endpoint, result.finish_s)
                 continue
@@ -222,7 +210,7 @@
                 flight.spared.append(endpoint)
                 continue
             node.shift.record(away, now_s)
-            flight.tried.append(endpoint.name)
+            flight.tried.append(name)
             if self._settle(flight, result):
                 return result
             if flight.over:
@@ -265,9 +253,7 @@
         if result.outcome is Outcome.ANSWERED:
             # An error of a sound endpoint is its answer to this request;
             # another endpoint would say the same.
-            if result.status < HTTP_SERVER_ERROR or not idempotent:
-                return True
-            if not result.failing:
+            if result.is_sound or not idempotent or not result.failing:
                 return True
             flight.spare = result
         elif result.outcome is not Outcome.NOT_RUN:
@@ -290,7 +276,7 @@
     def _log_failure(self, flight: Flight, result: Result) -> None:
         log_event(
             "attempt_failed",
-            request=flight.request.find_text(self.dialect.request_id),
+            request=flight.request_id,
             route=flight.route.name,
             endpoint=flight.tried[-1],
             outcome=result.outcome.value,
@@ -299,38 +285,43 @@
         )
 
     def _give_up(self, flight: Flight) -> Answer:
-        request = flight.request
-        known = dict(
-            route=flight.route.name,
-            asked=flight.describe_asked(),
-            left_ms=format_ms(flight.order.limit_s - read_boot_clock()),
-            revision=self.node.catalogue.revision,
-        )
-        request_id = request.find_text(self.dialect.request_id)
-        rank = flight.route.rank
-        observer = self.node.observer
+        request, rank = flight.request, flight.route.rank
+        now_s = read_boot_clock()
+        revision = self.node.catalogue.revision
         if flight.may_have_run:
-            now_s = read_boot_clock()
             late = now_s >= flight.order.limit_s
             status = HTTP_GATEWAY_TIMEOUT if late else HTTP_BAD_GATEWAY
-            observer.note_failure(rank, request_id, status, **known)
+            self._note_end(
+                flight,
+                End.FAILED,
+                lambda: {
+                    "status": status,
+                    **flight.describe_loss(now_s, revision),
+                },
+            )
             return self._make_answer(request, status)
         retry_s = min(flight.full.values(), default=MIN_RETRY_S)
         retry_s = min(MAX_RETRY_S, max(MIN_RETRY_S, retry_s))
         reason = "full" if flight.full else "no_endpoint"
-        known["retry_s"] = retry_s
-        observer.note_refusal(rank, request_id, reason, **known)
+        loss = flight.describe_loss(now_s, revision)
+        fields = {"reason": reason, **loss, "retry_s": retry_s}
+        self.node.observer.note_refusal_reason(rank, reason)
+        self._note_end(flight, End.REFUSED, lambda: fields)
         return self._refuse(request, retry_s)
 
     def _refuse_at_start(self, request: Request) -> Answer:
         """Refuse a request before there is a configuration."""
-        self.node.observer.note_refusal(
+        retry_s = NO_CONFIGURATION_RETRY_S
+        fields = {"reason": "starting", "retry_s": retry_s}
+        observer = self.node.observer
+        observer.note_refusal_reason(UNKNOWN_RANK, "starting")
+        observer.note_end(
+            End.REFUSED,
             UNKNOWN_RANK,
             request.find_text(self.dialect.request_id),
-            "starting",
-            retry_s=NO_CONFIGURATION_RETRY_S,
+            lambda: fields,
         )
-        return self._refuse(request, NO_CONFIGURATION_RETRY_S)
+        return self._refuse(request, retry_s)
 
     def _refuse(self, request: Request, retry_s: float) -> Answer:
         """Answer that a request has not run, and when to come back."""
--- a/carawayvale/gateway/flight.py
+++ b/carawayvale/gateway/flight.py
@@ -6,6 +6,7 @@
 from carawayvale.catalogue.records import Endpoint
 from carawayvale.catalogue.records import Route
 from carawayvale.gateway.http_port import Request
+from carawayvale.gateway.observer import format_ms
 from carawayvale.gateway.owned import Order
 from carawayvale.gateway.upstream import Result
 
@@ -15,6 +16,7 @@
     """One request on its way through the attempts.
 
     :param request: the request.
+    :param request_id: its id.
     :param route: its route.
     :param service: the service that was chosen for it.
     :param order: the request and its times.
@@ -31,6 +33,7 @@
     """
 
     request: Request
+    request_id: str
     route: Route
     service: str
     order: Order
@@ -53,3 +56,46 @@
         if self.asking:
             pairs.append(f"{self.asking}:waits")
         return ",".join(pairs) or "-"
+
+    def describe_answer(
+        self, result: Result, took_s: float
+    ) -> dict[str, object]:
+        """Describe how it was answered, for the log.
+
+        :param result: the answer.
+        :param took_s: seconds since its head arrived.
+        :returns: fields.
+        """
+        return {
+            "took_ms": format_ms(took_s),
+            "route": self.route.name,
+            "status": result.status,
+            "asked": self.describe_asked(),
+        }
+
+    def describe_abandoned(self, now_s: float) -> dict[str, object]:
+        """Describe how far it was when its caller left, for the log.
+
+        :param now_s: the time.
+        :returns: fields.
+        """
+        return {
+            "took_ms": format_ms(now_s - self.request.arrived_s),
+            "route": self.route.name,
+            "asked": self.describe_asked(),
+            "left_ms": format_ms(self.order.limit_s - now_s),
+        }
+
+    def describe_loss(self, now_s: float, revision: int) -> dict[str, object]:
+        """Describe what was tried before it was given up, for the log.
+
+        :param now_s: the time.
+        :param revision: revision of the catalogue that decided.
+        :returns: fields.
+        """
+        return {
+            "route": self.route.name,
+            "asked": self.describe_asked(),
+            "left_ms": format_ms(self.order.limit_s - now_s),
+            "revision": revision,
+        }
--- a/carawayvale/gateway/observer.py
+++ b/carawayvale/gateway/observer.py
@@ -5,6 +5,10 @@
 instances choose the same ones.
 """
 
+from collections.abc import Callable
+from collections.abc import Mapping
+from enum import Enum
+
 from carawayvale.contracts.hashing import hash_text
 from carawayvale.telemetry.logs import log_event
 from carawayvale.telemetry.metrics import Metrics
@@ -14,6 +18,8 @@
 
 MS_PER_S = 1000.0
 
+Describe = Callable[[], Mapping[str, object]]
+
 
 def is_sampled(request_id: str) -> bool:
     """Tell whether a served request is logged.
@@ -33,92 +39,71 @@
     return int(seconds * MS_PER_S)
 
 
+class End(Enum):
+    """What a caller's request came to."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    FAILED = "failed"
+    ABANDONED = "abandoned"
+
+
 class RequestObserver:
     """Metrics and log lines of one instance's requests.
 
     Kinds of counters and histograms begin with the rank of the route.
+    What a line says besides is only worked out if the line is written.
     """
 
     def __init__(self):
         self.metrics = Metrics()
 
-    def note_answer(
-        self, rank: int, request_id: str, took_s: float, **fields: object
+    def note_end(
+        self, end: End, rank: int, request_id: str, describe: Describe
     ) -> None:
-        """Record that a caller gets the answer of an endpoint.
+        """Record what a caller's request came to.
 
+        :param end: what it came to.
         :param rank: rank of the route.
         :param request_id: id of the request.
-        :param took_s: seconds since its head arrived.
-        :param fields: further fields of the log line.
+        :param describe: makes the further fields of the log line.
         """
-        self.metrics.count("requests", f"{rank}/answered")
-        self.metrics.record(str(rank), "caller", took_s)
-        if is_sampled(request_id):
-            log_event(
-                "request_answered",
-                request=request_id,
-                rank=rank,
-                took_ms=format_ms(took_s),
-                **fields,
-            )
-
-    def note_refusal(
-        self, rank: int, request_id: str, reason: str, **fields: object
-    ) -> None:
-        """Record that a request is refused; it has not run.
-
-        :param rank: rank of the route.
-        :param request_id: id of the request.
-        :param reason: why it is refused.
-        :param fields: further fields of the log line.
-        """
-        self.metrics.count("requests", f"{rank}/refused")
-        self.metrics.count("refusals", f"{rank}/{reason}")
+        self.metrics.count("requests", f"{rank}/{end.value}")
+        if end is End.ANSWERED and not is_sampled(request_id):
+            return
         log_event(
-            "request_refused",
+            f"request_{end.value}",
             request=request_id,
             rank=rank,
-            reason=reason,
-            **fields,
+            **describe(),
         )
 
-    def note_failure(
-        self, rank: int, request_id: str, status: int, **fields: object
-    ) -> None:
-        """Record that a request may have run and has no answer.
+    def note_answer_time(self, rank: int, took_s: float) -> None:
+        """Record how long a caller waited for its answer.
 
         :param rank: rank of the route.
-        :param request_id: id of the request.
-        :param status: status that the caller gets.
-        :param fields: further fields of the log line.
+        :param took_s: seconds since the head of its request arrived.
         """
-        self.metrics.count("requests", f"{rank}/failed")
-        log_event(
-            "request_failed",
-            request=request_id,
-            rank=rank,
-            status=status,
-            **fields,
-        )
+        self.metrics.record(str(rank), "caller", took_s)
 
-    def note_abandoned(
-        self, rank: int, request_id: str, took_s: float, **fields: object
-    ) -> None:
-        """Record that a caller left before it had an answer.
+    def note_refusal_reason(self, rank: int, reason: str) -> None:
+        """Count why a request was refused.
 
         :param rank: rank of the route.
-        :param request_id: id of the request.
-        :param took_s: seconds since its head arrived.
-        :param fields: further fields of the log line.
+        :param reason: why.
         """
-        self.metrics.count("requests", f"{rank}/abandoned")
+        self.metrics.count("refusals", f"{rank}/{reason}")
+
+    def note_ejection(self, service: str, endpoint: str, cause: str) -> None:
+        """Record that an endpoint is taken out of use.
+
+        :param service: name of its service.
+        :param endpoint: its name.
+        :param cause: why.
+        """
+        self.metrics.count("ejections", service)
         log_event(
-            "request_abandoned",
-            request=request_id,
-            rank=rank,
-            took_ms=format_ms(took_s),
-            **fields,
+            "endpoint_ejected", "WARNING", endpoint=endpoint, cause=cause
         )
 
     def note_attempt(self, rank: int, outcome: str) -> None:
@@ -137,7 +122,7 @@
         took_s: float,
         outcome: str,
         sound: bool,
-        **fields: object,
+        describe: Describe,
     ) -> None:
         """Record that an owned endpoint has finished with a request.
 
@@ -147,7 +132,7 @@
         :param took_s: seconds at the endpoint.
         :param outcome: how it ended.
         :param sound: whether it is the answer of a sound endpoint.
-        :param fields: further fields of the log line.
+        :param describe: makes the further fields of the log line.
         """
         self.metrics.count("runs", f"{rank}/{outcome}")
         self.metrics.record(str(rank), "queue", waited_s)
@@ -161,5 +146,5 @@
             outcome=outcome,
             waited_ms=format_ms(waited_s),
             took_ms=format_ms(took_s),
-            **fields,
+            **describe(),
         )
--- a/carawayvale/gateway/owned.py
+++ b/carawayvale/gateway/owned.py
@@ -13,6 +13,7 @@
 from carawayvale.gateway.observer import format_ms
 from carawayvale.gateway.observer import RequestObserver
 from carawayvale.gateway.upstream import HTTP_MISDIRECTED
+from carawayvale.gateway.upstream import HTTP_SERVER_ERROR
 from carawayvale.gateway.upstream import Outcome
 from carawayvale.gateway.upstream import Result
 from carawayvale.gateway.upstream import Upstream
@@ -42,8 +43,6 @@
 OVERDUE_FACTOR = 4.0
 OVERDUE_S = 0.5
 
-HTTP_SERVER_ERROR = 500
-
 # The least time that a waiting request sleeps.
 MIN_SLEEP_S = 0.001
 
@@ -215,8 +214,7 @@
             if not await self._await_slot(job):
                 return Result(Outcome.FULL, job.service_s)
             result = await self._send(order, job)
-            served = result.outcome is Outcome.ANSWERED
-            served = served and result.status < HTTP_SERVER_ERROR
+            served = result.is_sound
             return replace(result, failing=self.health.is_failing)
         finally:
             self.waiters.pop(job, None)
@@ -284,24 +282,28 @@
         return result
 
     def _note_run(self, order: Order, job: Job, result: Result) -> None:
-        answered = result.outcome is Outcome.ANSWERED
         self.observer.note_run(
             order.rank,
             order.request.find_text(self.dialect.request_id),
             job.started_s - job.arrived_s,
             read_boot_clock() - job.started_s,
             result.outcome.value,
-            answered and result.status < HTTP_SERVER_ERROR,
-            endpoint=self.endpoint.name,
-            status=result.status,
-            estimate_ms=format_ms(job.service_s),
-            turn=job.turn.name.lower(),
-            waiting=len(self.queue.waiting),
-            running=len(self.queue.running),
-            revision=self.endpoint.revision,
-            cause=result.cause or "none",
+            result.is_sound,
+            lambda: self._describe_run(job, result),
         )
 
+    def _describe_run(self, job: Job, result: Result) -> dict[str, object]:
+        return {
+            "endpoint": self.endpoint.name,
+            "status": result.status,
+            "estimate_ms": format_ms(job.service_s),
+            "turn": job.turn.name.lower(),
+            "waiting": len(self.queue.waiting),
+            "running": len(self.queue.running),
+            "revision": self.endpoint.revision,
+            "cause": result.cause or "none",
+        }
+
     def _learn(self, result: Result) -> None:
         now_s = read_boot_clock()
         if (
@@ -316,13 +318,12 @@
             evidence = ERRORS.get(evidence, evidence)
         self.health.record(evidence, now_s)
         if usable and not self.health.is_usable:
-            self.observer.metrics.count("ejections", self.service.name)
-            log_event(
-                "endpoint_ejected",
-                "WARNING",
-                endpoint=self.endpoint.name,
-                cause=result.cause,
-            )
+            self._note_ejection(result.cause)
+
+    def _note_ejection(self, cause: str) -> None:
+        self.observer.note_ejection(
+            self.service.name, self.endpoint.name, cause
+        )
 
     def list_overdue(self, now_s: float) -> list[Job]:
         """List the requests that take far longer than usual.
@@ -363,12 +364,7 @@
             sock = await connect(self.endpoint.address, CHECK_TIMEOUT_S)
         except ConnectionBroken as error:
             self.health.eject(read_boot_clock())
-            log_event(
-                "endpoint_ejected",
-                "WARNING",
-                endpoint=self.endpoint.name,
-                cause=f"no connection: {error}",
-            )
+            self._note_ejection(f"no connection: {error}")
             await self.upstream.pool.close()
             await self.wake_all()
             self._abort_all()
--- a/carawayvale/gateway/tests/test_owned.py
+++ b/carawayvale/gateway/tests/test_owned.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+import curio
+
 from carawayvale.catalogue.records import Endpoint
 from carawayvale.catalogue.records import Service
 from carawayvale.contracts.address import Address
@@ -19,6 +21,17 @@
     return OwnedEndpoint(DIALECT, endpoint, SERVICE, RequestObserver())
 
 
+class TestEjections:
+    def test_every_ejection_is_counted(self):
+        """Also one that a check of an overdue request brings about."""
+        address = Address("127.0.0.1", 1)
+        owned = make_owned(replace(ENDPOINT, address=address))
+        curio.run(owned.check)
+        assert owned.health.ejected
+        counters = owned.observer.metrics.counters
+        assert counters["ejections", "grids"] == 1
+
+
 class TestColdTimes:
     def test_an_old_report_counts_once(self):
         """Other entries change for long after an endpoint was cold."""
--- a/carawayvale/gateway/upstream.py
+++ b/carawayvale/gateway/upstream.py
@@ -20,6 +20,7 @@
 
 # Another endpoint answers at the address; the request was not run.
 HTTP_MISDIRECTED = 421
+HTTP_SERVER_ERROR = 500
 MAX_ANSWER_BYTES = 1 << 26
 
 # An endpoint answers at its deadline by itself; this is added for the
@@ -87,6 +88,12 @@
     failing: bool = False
     busy: bool = True
 
+    @property
+    def is_sound(self) -> bool:
+        """Whether it is an answer that reports no error of the server."""
+        answered = self.outcome is Outcome.ANSWERED
+        return answered and self.status < HTTP_SERVER_ERROR
+
 
 def strip_hop_headers(headers: Headers) -> Headers:
     """Drop the headers that concern one connection only.
