Answer the small ports' calls in one place; drop twins

Three ports each compared the path themselves; one base answers calls by a table of pages. The two lists of a region's links are one method, the content type of JSON stands once, and a counter of store calls that nobody read is gone. Nothing else changes.

--- a/carawayvale/gateway/small_ports.py
+++ b/carawayvale/gateway/small_ports.py
@@ -1,6 +1,7 @@
 """The ports for look-ups, readiness, metrics and state."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import json
 
 from carawayvale.contracts.clock import read_boot_clock
@@ -8,6 +9,7 @@
 from carawayvale.gateway.http_port import Answer
 from carawayvale.gateway.http_port import Request
 from carawayvale.gateway.node import GatewayNode
+from carawayvale.links.requests import JSON_TYPE
 from carawayvale.platform.lookups import decode_lookup
 from carawayvale.platform.lookups import encode_addresses
 from carawayvale.platform.lookups import READY_PATH
@@ -15,7 +17,6 @@
 
 MAX_ADDRESSES = 64
 TTL_S = 2.0
-JSON_TYPE = (b"content-type", b"application/json")
 TEXT_TYPE = (b"content-type", b"text/plain; version=0.0.4")
 METRICS_PATH = "/metrics"
 STATE_PATH = "/state"
@@ -24,23 +25,39 @@
 HTTP_UNAVAILABLE = 503
 
 
-class LookupPort:
-    """Tells callers which instances to use.
+Page = Callable[[Request], Answer]
 
-    :param node: the instance.
+
+class PagesPort:
+    """Answers calls by their path; other paths are not found.
+
+    :param pages: what answers each path.
     """
 
-    def __init__(self, node: GatewayNode):
-        self.node = node
+    def __init__(self, pages: Mapping[str, Page]):
+        self.pages = pages
 
     async def handle(self, request: Request) -> Answer:
-        """Answer a look-up.
+        """Answer a call.
 
         :param request: the request.
         :returns: the answer.
         """
-        if request.path != RESOLVE_PATH:
-            return Answer(HTTP_NOT_FOUND)
+        show = self.pages.get(request.path)
+        return show(request) if show else Answer(HTTP_NOT_FOUND)
+
+
+class LookupPort(PagesPort):
+    """Tells callers which instances to use.
+
+    :param node: the instance.
+    """
+
+    def __init__(self, node: GatewayNode):
+        super().__init__({RESOLVE_PATH: self._show_instances})
+        self.node = node
+
+    def _show_instances(self, request: Request) -> Answer:
         lookup = decode_lookup(request.query)
         records = self.node.list_callers_instances(
             lookup.domain, lookup.region, lookup.host
@@ -53,28 +70,22 @@
         return Answer(HTTP_OK, (JSON_TYPE,), body)
 
 
-class ReadyPort:
+class ReadyPort(PagesPort):
     """Tells whether the instance takes requests.
 
     :param node: the instance.
     """
 
     def __init__(self, node: GatewayNode):
+        super().__init__({READY_PATH: self._show_ready})
         self.node = node
 
-    async def handle(self, request: Request) -> Answer:
-        """Answer a readiness check.
-
-        :param request: the request.
-        :returns: the answer.
-        """
-        if request.path != READY_PATH:
-            return Answer(HTTP_NOT_FOUND)
+    def _show_ready(self, request: Request) -> Answer:
         ready = self.node.is_ready
         return Answer(HTTP_OK if ready else HTTP_UNAVAILABLE)
 
 
-class MetricsPort:
+class MetricsPort(PagesPort):
     """Shows operators the metrics and the state of the instance.
 
     :param node: the instance.
@@ -82,23 +93,13 @@
     """
 
     def __init__(self, node: GatewayNode, feed: Feed):
+        super().__init__(
+            {METRICS_PATH: self._show_metrics, STATE_PATH: self._show_state}
+        )
         self.node = node
         self.feed = feed
-        self.pages: dict[str, Callable[[], Answer]] = {
-            METRICS_PATH: self._show_metrics,
-            STATE_PATH: self._show_state,
-        }
-
-    async def handle(self, request: Request) -> Answer:
-        """Answer an operator.
-
-        :param request: the request.
-        :returns: the answer.
-        """
-        show = self.pages.get(request.path)
-        return show() if show else Answer(HTTP_NOT_FOUND)
 
-    def _show_metrics(self) -> Answer:
+    def _show_metrics(self, request: Request) -> Answer:
         metrics = self.node.observer.metrics
         for name, value in self._measure().items():
             metrics.set_gauge(name, "", value)
@@ -124,7 +125,7 @@
             "running": sum(len(o.queue.running) for o in owned),
         }
 
-    def _show_state(self) -> Answer:
+    def _show_state(self, request: Request) -> Answer:
         node = self.node
         members = [
             {"name": record.name, "state": record.state.name.lower()}
--- a/carawayvale/links/peers.py
+++ b/carawayvale/links/peers.py
@@ -273,12 +273,7 @@
         :param source: name of the peer that sent them.
         """
         data = pack_message(reports)
-        links = [
-            opened.link
-            for name, opened in self.links.items()
-            if opened.link.peer.region == self.membership.me.region
-            and name != source
-        ]
+        links = self._list_region_links(source)
         if not self.membership.is_mesh:
             count = min(RELAY_FANOUT, len(links))
             links = self.random.sample(links, count)
@@ -386,10 +381,16 @@
         :param source: name of a peer that needs no copy.
         """
         data = pack_message(message)
-        for name, opened in list(self.links.items()):
-            local = opened.link.peer.region == self.membership.me.region
-            if local and name != source:
-                await opened.link.post_packed(data)
+        for link in self._list_region_links(source):
+            await link.post_packed(data)
+
+    def _list_region_links(self, source: str) -> list[PeerLink]:
+        region = self.membership.me.region
+        return [
+            opened.link
+            for name, opened in self.links.items()
+            if opened.link.peer.region == region and name != source
+        ]
 
     async def say_goodbye(self) -> None:
         """Tell all peers that this instance is gone."""
--- a/carawayvale/platform/store_client.py
+++ b/carawayvale/platform/store_client.py
@@ -13,6 +13,7 @@
 from carawayvale.links.connections import ConnectionPool
 from carawayvale.links.connections import OutgoingCall
 from carawayvale.links.http import ConnectionBroken
+from carawayvale.links.requests import JSON_TYPE
 from carawayvale.platform.units import parse_duration
 from carawayvale.platform.units import read_field
 
@@ -23,7 +24,6 @@
 MAX_ANSWER_BYTES = 32_000_000
 MS_PER_S = 1000
 WATCH_MARGIN_S = 1.5
-JSON_TYPE = (b"content-type", b"application/json")
 
 
 class StoreFailed(ConnectionError):
@@ -85,7 +85,6 @@
         self.timeout_s = timeout_s
         self.pool = ConnectionPool(address)
         self.host = (b"host", str(address).encode())
-        self.calls = 0
 
     async def read_all(self, prefix: str) -> Reading:
         """Read all items of a prefix, page by page.
@@ -206,7 +205,6 @@
         body: Any = None,
         timeout_s: float | None = None,
     ) -> tuple[int, Any]:
-        self.calls += 1
         headers = [self.host]
         data = b""
         if body is not None:
