Run download requests again like other idempotent ones

Cause: only the kind "safe" counted as idempotent, so a download was handled as if it could run only once: no second attempt, no abort at an unreachable owner, no wait behind other requests. Change: the kind "download" is idempotent. Unknown kinds run once. Ruled out: the split of traffic, which served before. Test: test_a_download_is_idempotent failed before.

--- a/carawayvale/platform/configuration.py
+++ b/carawayvale/platform/configuration.py
@@ -26,7 +26,7 @@
 
 # A request may run more than once only if its route is of one of these
 # kinds. Any other kind, also an unknown one, may run only once.
-IDEMPOTENT_KINDS = frozenset({"safe"})
+IDEMPOTENT_KINDS = frozenset({"safe", "download"})
 
 
 def decode_configuration(item: StoredItem) -> Configuration:
--- a/carawayvale/platform/tests/test_decoding.py
+++ b/carawayvale/platform/tests/test_decoding.py
@@ -120,6 +120,12 @@
         with pytest.raises(InvalidInput, match="nowhere"):
             decode_configuration(make_item("op/config", table))
 
+    def test_a_download_is_idempotent(self):
+        table = copy.deepcopy(CONFIGURATION)
+        table["routes"]["rows"][0][3] = "download"
+        configuration = decode_configuration(make_item("op/config", table))
+        assert configuration.routes[0].idempotent
+
     def test_a_route_of_an_unknown_kind_is_not_idempotent(self):
         table = copy.deepcopy(CONFIGURATION)
         table["routes"]["rows"][1][3] = "sometimes"
