Import only what a gateway runs when it starts

Cause: package __init__ files imported all their modules, so a gateway on the platform created the data classes of the product's own document and loaded expression, and curio and loguru loaded a second event loop. Ruled out: garbage collection during imports (no difference).

--- a/carawayvale/catalogue/__init__.py
+++ b/carawayvale/catalogue/__init__.py
@@ -1,29 +1,26 @@
 """Catalogue: typed records of the routes, services and endpoints served."""
 
-from carawayvale.catalogue.header_names import HeaderNames
-from carawayvale.catalogue.records import Catalogue
-from carawayvale.catalogue.records import Configuration
-from carawayvale.catalogue.records import EMPTY_CATALOGUE
-from carawayvale.catalogue.records import EndpointRecord
-from carawayvale.catalogue.records import EndpointState
-from carawayvale.catalogue.records import RequestLimits
-from carawayvale.catalogue.records import RouteRecord
-from carawayvale.catalogue.records import ServiceRecord
-from carawayvale.catalogue.records import WeightedService
-from carawayvale.catalogue.replica import StoredItem
-from carawayvale.catalogue.replica import StoreReplica
+from carawayvale.exports import list_names
+from carawayvale.exports import make_getattr
 
-__all__ = (
-    "Catalogue",
-    "Configuration",
-    "EMPTY_CATALOGUE",
-    "EndpointRecord",
-    "EndpointState",
-    "HeaderNames",
-    "RequestLimits",
-    "RouteRecord",
-    "ServiceRecord",
-    "StoredItem",
-    "StoreReplica",
-    "WeightedService",
-)
+MODULES = {
+    "header_names": ("HeaderNames",),
+    "records": (
+        "Catalogue",
+        "Configuration",
+        "EMPTY_CATALOGUE",
+        "EndpointRecord",
+        "EndpointState",
+        "RequestLimits",
+        "RouteRecord",
+        "ServiceRecord",
+        "WeightedService",
+    ),
+    "replica": (
+        "StoredItem",
+        "StoreReplica",
+    ),
+}
+
+__all__ = list_names(MODULES)
+__getattr__ = make_getattr(__name__, MODULES)
--- a/carawayvale/commands/main.py
+++ b/carawayvale/commands/main.py
@@ -23,7 +23,7 @@
 from carawayvale.commands.request_timeline import read_logs
 from carawayvale.commands.request_timeline import select_lines
 from carawayvale.contracts.address import Address
-from carawayvale.contracts.fields import parse_address
+from carawayvale.contracts.address import parse_address
 from carawayvale.contracts.findings import InvalidInput
 from carawayvale.contracts import headers
 from carawayvale.contracts.settings import load_settings
--- a/carawayvale/contracts/fields.py
+++ b/carawayvale/contracts/fields.py
@@ -15,11 +15,11 @@
 from expression import Result
 
 from carawayvale.contracts.address import Address
+from carawayvale.contracts.address import parse_address
 from carawayvale.contracts.findings import Finding
 from carawayvale.contracts.findings import Place
 
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,62}\Z")
-MAX_PORT = 65535
 TRUE_WORDS = frozenset({"yes", "true", "on", "1"})
 FALSE_WORDS = frozenset({"no", "false", "off", "0"})
 
@@ -78,20 +78,6 @@
     raise ValueError("must be yes or no")
 
 
-def parse_address(text: str) -> Address:
-    """Parse an address of the form ``IP:port``.
-
-    :param text: value as written.
-    :returns: the address.
-    :raises ValueError: if the host is not an IP address or the port is
-        invalid.
-    """
-    host, separator, port = text.strip().rpartition(":")
-    if not separator or not port.isdigit() or int(port) > MAX_PORT:
-        raise ValueError("must be IP:port with a port of at most 65535")
-    return Address(str(ipaddress.ip_address(host.strip("[]"))), int(port))
-
-
 def parse_addresses(text: str) -> tuple[Address, ...]:
     """Parse addresses separated by white space.
 
--- a/carawayvale/contracts/sections.py
+++ b/carawayvale/contracts/sections.py
@@ -5,9 +5,9 @@
 from typing import Any
 
 from carawayvale.contracts.address import Address
+from carawayvale.contracts.address import parse_address
 from carawayvale.contracts.fields import declare_field
 from carawayvale.contracts.fields import make_number_parser
-from carawayvale.contracts.fields import parse_address
 from carawayvale.contracts.fields import parse_blocks
 from carawayvale.contracts.fields import parse_flag
 from carawayvale.contracts.fields import parse_name
--- a/carawayvale/contracts/settings.py
+++ b/carawayvale/contracts/settings.py
@@ -9,9 +9,9 @@
 from typing import Any
 
 from carawayvale.contracts.address import Address
+from carawayvale.contracts.address import parse_address
 from carawayvale.contracts.fields import declare_field
 from carawayvale.contracts.fields import make_number_parser
-from carawayvale.contracts.fields import parse_address
 from carawayvale.contracts.fields import parse_addresses
 from carawayvale.contracts.fields import parse_fields
 from carawayvale.contracts.fields import parse_flag
--- a/carawayvale/documents/envelope.py
+++ b/carawayvale/documents/envelope.py
@@ -13,8 +13,8 @@
 from carawayvale.contracts.document import parse_document
 from carawayvale.contracts.findings import Finding
 from carawayvale.contracts.findings import Place
-from carawayvale.links.messages import Sections
-from carawayvale.links.messages import SectionText
+from carawayvale.links.document_messages import Sections
+from carawayvale.links.document_messages import SectionText
 
 DOCUMENT_KEY = "document"
 CHANGE_KEY_PREFIX = "change/"
--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -22,14 +22,12 @@
 from carawayvale.gateway.server import HandleRequest
 from carawayvale.gateway.server import RequestServer
 from carawayvale.gateway.settings import GatewaySettings
-from carawayvale.links.document_replica import DocumentReplica
 from carawayvale.links import handlers  # noqa: F401 registers handlers
 from carawayvale.links.listener import Listener
 from carawayvale.links.listener import open_listener
 from carawayvale.links.membership import Membership
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links.messages import MemberState
-from carawayvale.links.messages import Reports
 from carawayvale.links.peers import PeerCallbacks
 from carawayvale.links.peers import PeerTable
 from carawayvale.machines.incarnation import make_incarnation
@@ -83,13 +81,8 @@
             clock,
             None,
             membership,
-            DocumentReplica(),
-            PeerCallbacks(
-                self._handle_member_change,
-                self._handle_document_change,
-                self._make_empty_reports,
-                self._ignore_reports,
-            ),
+            None,
+            PeerCallbacks(self._handle_member_change),
         )
         self.store = StoreClient(settings.store, STORE_TIMEOUT_S)
         self.change_feed = ChangeFeed(
@@ -208,17 +201,6 @@
         self.node.assign_endpoints()
         self.node.abort_forwards()
 
-    async def _handle_document_change(self) -> None:
-        """Do nothing: a gateway instance has no document of its own."""
-
-    def _make_empty_reports(self, region: str) -> Reports:
-        """Make empty reports: peers of a gateway instance ignore them."""
-        return Reports((), (), 0.0, ())
-
-    def _ignore_reports(self, peer: MemberRecord, reports: Reports) -> None:
-        """Ignore the reports of a peer, which are empty."""
-        return None
-
     async def _tick(self) -> None:
         """Regularly update derived state and start the checks that are due."""
         while True:
--- a/carawayvale/links/document_replica.py
+++ b/carawayvale/links/document_replica.py
@@ -14,8 +14,8 @@
 from carawayvale.contracts.document import RawSection
 from carawayvale.contracts.findings import Finding
 from carawayvale.contracts.findings import Place
-from carawayvale.links.messages import Sections
-from carawayvale.links.messages import SectionText
+from carawayvale.links.document_messages import Sections
+from carawayvale.links.document_messages import SectionText
 
 # A peer whose revision is older than the kept changes gets all sections.
 MAX_KEPT_CHANGES = 256
--- a/carawayvale/links/messages.py
+++ b/carawayvale/links/messages.py
@@ -81,36 +81,6 @@
         return (self.incarnation, self.version, int(self.state))
 
 
-@dataclass(frozen=True)
-class ServiceHeadroom:
-    """Free slots of one service at one owner or in one region.
-
-    :param service: name of the service.
-    :param free: number of free slots.
-    :param usable: number of slots that may be in use at the same time.
-    """
-
-    service: str
-    free: int
-    usable: int
-
-
-@dataclass(frozen=True)
-class RegionReport:
-    """Headroom of a region, summed up by one of its bridges.
-
-    A bridge is an instance that is elected to link with other regions.
-
-    :param region: name of the region.
-    :param measured_s: time of the measurement by the clock of the bridge.
-    :param services: headroom of each service.
-    """
-
-    region: str
-    measured_s: float
-    services: tuple[ServiceHeadroom, ...]
-
-
 @register_message(1)
 @dataclass(frozen=True)
 class Challenge:
@@ -166,25 +136,6 @@
     records: tuple[MemberRecord, ...]
 
 
-@register_message(13)
-@dataclass(frozen=True)
-class Reports:
-    """Headroom of the sender and the latest region reports it received.
-
-    :param headroom: headroom of the shards that the sender owns.
-    :param regions: reports of regions.
-    :param listed_s: time at which the platform's list of instances was
-        read.
-    :param leaving: names of the entry instances and endpoints that the
-        list marks as leaving.
-    """
-
-    headroom: tuple[ServiceHeadroom, ...]
-    regions: tuple[RegionReport, ...]
-    listed_s: float
-    leaving: tuple[str, ...]
-
-
 @register_message(5)
 @dataclass(frozen=True)
 class MembersRequest:
@@ -199,47 +150,6 @@
     records: tuple[MemberRecord, ...]
 
 
-@register_message(7)
-@dataclass(frozen=True)
-class SectionsRequest:
-    """Request for the changes of the document since a revision.
-
-    :param revision: revision in force at the requesting instance.
-    :param digest: hash of the document with that revision.
-    """
-
-    revision: int
-    digest: bytes
-
-
-@dataclass(frozen=True)
-class SectionText:
-    """Title and text of a section."""
-
-    title: str
-    body: str
-
-
-@register_message(8)
-@dataclass(frozen=True)
-class Sections:
-    """Changes from one revision of the document to another.
-
-    :param base: revision to apply the changes to; 0 replaces the whole
-        document.
-    :param revision: resulting revision.
-    :param digest: hash of the resulting document.
-    :param changed: new and changed sections.
-    :param removed: titles of removed sections.
-    """
-
-    base: int
-    revision: int
-    digest: bytes
-    changed: tuple[SectionText, ...]
-    removed: tuple[str, ...]
-
-
 @register_message(9)
 @dataclass(frozen=True)
 class ProbeRequest:
@@ -258,25 +168,8 @@
     version: int
 
 
-@register_message(11)
-@dataclass(frozen=True)
-class CreditGrant:
-    """Credits for a capped link between regions, granted to the receiver.
-
-    :param cap_name: name of the cap, the same at sender and receiver.
-    :param epoch: epoch in which the credits are valid.
-    :param credits: number of requests that the credits allow.
-    :param serial: sequence number of the grant at the sender.
-    """
-
-    cap_name: str
-    epoch: int
-    credits: int
-    serial: int
-
-
 # Types of the fields that are not scalar, by the names of class and field.
-# In a list, None means strings.
+# In a list, None means strings. Modules with further messages add theirs.
 NESTED_TYPES: dict[tuple[str, str], type] = {
     ("Hello", "record"): MemberRecord,
     ("Welcome", "record"): MemberRecord,
@@ -286,13 +179,7 @@
 }
 NESTED_LIST_TYPES: dict[tuple[str, str], type | None] = {
     ("Updates", "records"): MemberRecord,
-    ("Reports", "headroom"): ServiceHeadroom,
-    ("Reports", "regions"): RegionReport,
-    ("Reports", "leaving"): None,
-    ("RegionReport", "services"): ServiceHeadroom,
     ("Members", "records"): MemberRecord,
-    ("Sections", "changed"): SectionText,
-    ("Sections", "removed"): None,
 }
 SCALAR_TYPES = {"str": str, "int": int, "float": (int, float), "bytes": bytes}
 
--- a/carawayvale/links/peers.py
+++ b/carawayvale/links/peers.py
@@ -7,13 +7,13 @@
 import random
 from ssl import SSLContext
 from typing import Any
+from typing import TYPE_CHECKING
 
 import curio
 from curio.io import Socket
 
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import Clock
-from carawayvale.links.document_replica import DocumentReplica
 from carawayvale.links.http import connect
 from carawayvale.links.http import ConnectFailed
 from carawayvale.links.membership import choose_neighbours
@@ -25,7 +25,6 @@
 from carawayvale.links.messages import Members
 from carawayvale.links.messages import MemberState
 from carawayvale.links.messages import ProbeRequest
-from carawayvale.links.messages import Reports
 from carawayvale.links.messages import Updates
 from carawayvale.links.peer_link import accept_link
 from carawayvale.links.peer_link import HANDSHAKE_TIMEOUT_S
@@ -37,6 +36,10 @@
 from carawayvale.links.peer_link import PeerLink
 from carawayvale.telemetry.logs import log_event
 
+if TYPE_CHECKING:
+    from carawayvale.links.document_messages import Reports
+    from carawayvale.links.document_replica import DocumentReplica
+
 TICK_INTERVAL_S = HEARTBEAT_INTERVAL_S / 2
 REPORT_INTERVAL_S = 1.0
 REDIAL_INTERVAL_S = 2.0
@@ -46,22 +49,27 @@
 MAX_UPDATES_PER_MESSAGE = 64
 PROBE_FANOUT = 3
 
+# Revision in the heartbeats of an instance without a document.
+NO_REVISION = 0
+
 ChangeCallback = Callable[[], Awaitable[None]]
 PeerMessageHandler = Callable[["PeerTable", PeerLink, Any], Awaitable[None]]
-HANDLERS: dict[type, PeerMessageHandler] = {}
+HANDLERS: dict[type, list[PeerMessageHandler]] = {}
 
 
 def register_message_handler(
     kind: type,
 ) -> Callable[[PeerMessageHandler], PeerMessageHandler]:
-    """Register the handler of a message type.
+    """Register a handler of a message type.
+
+    All handlers of a type are called, in the order of registration.
 
     :param kind: class of the message.
     :returns: the function decorator.
     """
 
     def register(handler: PeerMessageHandler) -> PeerMessageHandler:
-        HANDLERS[kind] = handler
+        HANDLERS.setdefault(kind, []).append(handler)
         return handler
 
     return register
@@ -121,15 +129,17 @@
     :param members_changed: called after the member list changed.
     :param document_changed: called after a document was put in force.
     :param make_reports: makes the headroom message for peers in a given
-        region.
+        region; None if this instance sends none.
     :param merge_reports: merges the reports of a peer and returns those
         that are new to the region of this instance.
     """
 
     members_changed: ChangeCallback
-    document_changed: ChangeCallback
-    make_reports: Callable[[str], Reports]
-    merge_reports: Callable[[MemberRecord, Reports], Reports | None]
+    document_changed: ChangeCallback | None = None
+    make_reports: Callable[[str], "Reports"] | None = None
+    merge_reports: (
+        Callable[[MemberRecord, "Reports"], "Reports | None"] | None
+    ) = None
 
 
 @dataclass
@@ -142,7 +152,8 @@
     :param clock: clock of the process.
     :param ssl: TLS context, or None for plain TCP.
     :param membership: the member list.
-    :param document_replica: the document in force.
+    :param document_replica: the document in force; None for an instance
+        without a document.
     :param callbacks: callbacks into the rest of the instance.
     :param links: links in use by the name of the peer.
     :param dialling: addresses to which a connection is being opened.
@@ -167,7 +178,7 @@
     clock: Clock
     ssl: SSLContext | None
     membership: Membership
-    document_replica: DocumentReplica
+    document_replica: "DocumentReplica | None"
     callbacks: PeerCallbacks
     links: dict[str, ActiveLink] = field(default_factory=dict)
     dialling: set[Address] = field(default_factory=set)
@@ -248,10 +259,11 @@
         await link.sock.close()
 
     async def _handle(self, link: PeerLink, message: Any) -> None:
-        handler = HANDLERS.get(type(message))
-        if handler is None:
+        handlers = HANDLERS.get(type(message))
+        if handlers is None:
             raise BadMessage(f"unexpected message {type(message).__name__}")
-        await handler(self, link, message)
+        for handler in handlers:
+            await handler(self, link, message)
 
     async def run(self) -> None:
         """Maintain links, heartbeats and the member list until cancelled."""
@@ -278,7 +290,8 @@
         if now_s - self.last_heartbeat_s >= HEARTBEAT_INTERVAL_S:
             self.last_heartbeat_s = now_s
             await self.send_heartbeats()
-        if now_s - self.last_report_s >= REPORT_INTERVAL_S:
+        reports_due = now_s - self.last_report_s >= REPORT_INTERVAL_S
+        if reports_due and self.callbacks.make_reports is not None:
             self.last_report_s = now_s
             await self._send_reports()
 
@@ -291,7 +304,7 @@
                 packed[region] = pack_message(message)
             await active.link.post_packed(packed[region])
 
-    async def relay_reports(self, reports: Reports, source: str) -> None:
+    async def relay_reports(self, reports: "Reports", source: str) -> None:
         """Gossip reports to neighbours in the region of this instance.
 
         In a large region, three random neighbours (RELAY_FANOUT) are
@@ -401,11 +414,12 @@
 
     async def send_heartbeats(self) -> None:
         """Send a heartbeat on each link."""
+        replica = self.document_replica
         await self._broadcast(
             Heartbeat(
                 self.membership.own_record.incarnation,
                 self.membership.view_hash,
-                self.document_replica.revision,
+                NO_REVISION if replica is None else replica.revision,
             )
         )
 
--- a/carawayvale/machines/entry.py
+++ b/carawayvale/machines/entry.py
@@ -10,6 +10,8 @@
 from carawayvale.contracts.settings import EntrySettings
 from carawayvale.documents.document_updater import DocumentUpdater
 from carawayvale.documents.store import make_store
+from carawayvale.links import document_handlers  # noqa: F401 registers
+from carawayvale.links import handlers  # noqa: F401 registers handlers
 from carawayvale.links.listener import Listener
 from carawayvale.links.listener import open_listener
 from carawayvale.links.messages import MemberRecord
--- a/carawayvale/platform/values.py
+++ b/carawayvale/platform/values.py
@@ -7,8 +7,8 @@
 import re
 from typing import Any
 
+from carawayvale.contracts import address
 from carawayvale.contracts.address import Address
-from carawayvale.contracts import fields
 
 DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)\Z")
 MS_PER_S = 1000.0
@@ -41,7 +41,7 @@
     if not isinstance(value, str):
         raise ValueError(f"{value!r} is not an address")
     try:
-        return fields.parse_address(value)
+        return address.parse_address(value)
     except ValueError as error:
         raise ValueError(f"{value!r} is not an address: {error}") from None
 
--- a/carawayvale/standins/caller.py
+++ b/carawayvale/standins/caller.py
@@ -14,8 +14,8 @@
 import xxhash
 
 from carawayvale.contracts.address import Address
+from carawayvale.contracts.address import parse_address
 from carawayvale.contracts.clock import read_boot_clock
-from carawayvale.contracts.fields import parse_address
 from carawayvale.contracts import headers as names
 from carawayvale.contracts.retries import IDEMPOTENT_METHODS
 from carawayvale.links.connections import ConnectionPools
--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -1,35 +1,35 @@
 """Decisions on requests: routing, placement, admission, rates, health."""
 
-from carawayvale.steering.admission import EndpointQueue
-from carawayvale.steering.admission import QueuedRequest
-from carawayvale.steering.admission import Rejection
-from carawayvale.steering.health import EndpointHealth
-from carawayvale.steering.health import HealthSignal
-from carawayvale.steering.placement import list_first_choices
-from carawayvale.steering.placement import order_endpoints
-from carawayvale.steering.placement import score_endpoint
-from carawayvale.steering.rates import ColdRateLimit
-from carawayvale.steering.rates import FleetRetryBudget
-from carawayvale.steering.rates import ShiftLimit
-from carawayvale.steering.rates import WindowCounter
-from carawayvale.steering.routing import choose_weighted_service
-from carawayvale.steering.routing import RouteTable
-from carawayvale.steering.service_times import ServiceTimes
+from carawayvale.exports import list_names
+from carawayvale.exports import make_getattr
 
-__all__ = (
-    "choose_weighted_service",
-    "ColdRateLimit",
-    "EndpointHealth",
-    "EndpointQueue",
-    "FleetRetryBudget",
-    "HealthSignal",
-    "list_first_choices",
-    "order_endpoints",
-    "QueuedRequest",
-    "Rejection",
-    "RouteTable",
-    "score_endpoint",
-    "ServiceTimes",
-    "ShiftLimit",
-    "WindowCounter",
-)
+MODULES = {
+    "admission": (
+        "EndpointQueue",
+        "QueuedRequest",
+        "Rejection",
+    ),
+    "health": (
+        "EndpointHealth",
+        "HealthSignal",
+    ),
+    "placement": (
+        "list_first_choices",
+        "order_endpoints",
+        "score_endpoint",
+    ),
+    "rates": (
+        "ColdRateLimit",
+        "FleetRetryBudget",
+        "ShiftLimit",
+        "WindowCounter",
+    ),
+    "routing": (
+        "choose_weighted_service",
+        "RouteTable",
+    ),
+    "service_times": ("ServiceTimes",),
+}
+
+__all__ = list_names(MODULES)
+__getattr__ = make_getattr(__name__, MODULES)
--- a/carawayvale/zones/credits.py
+++ b/carawayvale/zones/credits.py
@@ -8,7 +8,7 @@
 
 from carawayvale.contracts.sections import Deployment
 from carawayvale.contracts.sections import Link
-from carawayvale.links.messages import CreditGrant
+from carawayvale.links.document_messages import CreditGrant
 
 # Share of an epoch's credits that a request leaves unspent for each
 # rank that is more urgent than its own.
--- a/carawayvale/zones/headroom.py
+++ b/carawayvale/zones/headroom.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from carawayvale.links.messages import RegionReport
-from carawayvale.links.messages import ServiceHeadroom
+from carawayvale.links.document_messages import RegionReport
+from carawayvale.links.document_messages import ServiceHeadroom
 
 # An owner's report is ignored once it is older than this.
 MAX_OWNER_REPORT_AGE_S = 2.0
--- a/carawayvale/zones/ownership.py
+++ b/carawayvale/zones/ownership.py
@@ -5,10 +5,13 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 import math
+from typing import TYPE_CHECKING
 
-from carawayvale.contracts.document import Document
 from carawayvale.contracts.hashing import hash_text
-from carawayvale.contracts.sections import Endpoint
+
+if TYPE_CHECKING:
+    from carawayvale.contracts.document import Document
+    from carawayvale.contracts.sections import Endpoint
 
 # An instance owns at most this multiple of the mean number of shards
 # per instance in its region, rounded up.
@@ -44,7 +47,7 @@
     service: str
     region: str
     domain: str
-    endpoints: tuple[Endpoint, ...]
+    endpoints: "tuple[Endpoint, ...]"
 
     @property
     def slots(self) -> int:
@@ -52,7 +55,7 @@
         return sum(endpoint.slots for endpoint in self.endpoints)
 
 
-def list_shards(document: Document) -> tuple[Shard, ...]:
+def list_shards(document: "Document") -> tuple[Shard, ...]:
     """Split the endpoints of the document into shards of bounded size.
 
     A shard has endpoints of one service in one failure domain only, at
@@ -61,7 +64,7 @@
     :param document: the document in force.
     :returns: the shards, ordered by service, failure domain and index.
     """
-    groups: dict[tuple[str, str], list[Endpoint]] = {}
+    groups: "dict[tuple[str, str], list[Endpoint]]" = {}
     for endpoint in document.by_kind["endpoint"].values():
         key = (endpoint.service, endpoint.domain)
         groups.setdefault(key, []).append(endpoint)
