Keep owners up to date instead of computing them anew

Cause: each membership message that changed anything made a process hash and sort every endpoint against every instance of its region, 89 % of the processes' time while the large site starts. Change: OwnerTable keeps the order of the instances for each shard. A newcomer is inserted, a leaver removed, only its region is assigned anew, and a gateway computes owners when they are read, once for all changes until then. The result is the same as before for the same view. Test: a state machine compares with the plain computation over joins, leaves, moves, lost regions and changes of endpoints; a join must compare the newcomer only (failed before: everything was compared).

--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -198,7 +198,7 @@
 
     async def _handle_member_change(self) -> None:
         self.node.members_changed_s = read_boot_clock()
-        self.node.assign_endpoints()
+        self.node.invalidate_owners()
         self.node.abort_forwards()
 
     async def _tick(self) -> None:
--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -26,11 +26,10 @@
 from carawayvale.steering.rates import ShiftLimit
 from carawayvale.steering.routing import RouteTable
 from carawayvale.telemetry.logs import log_event
-from carawayvale.zones.ownership import assign_owners
-from carawayvale.zones.ownership import Candidate
-from carawayvale.zones.ownership import EMPTY_OWNERSHIP
-from carawayvale.zones.ownership import Ownership
-from carawayvale.zones.ownership import Shard
+from carawayvale.zones.owner_table import Ownership
+from carawayvale.zones.owner_table import OwnerTable
+from carawayvale.zones.shards import Candidate
+from carawayvale.zones.shards import Shard
 
 # An instance that could not be reached gets no requests for this long.
 UNREACHABLE_BACKOFF_S = 1.0
@@ -76,7 +75,8 @@
         self.catalogue: Catalogue = EMPTY_CATALOGUE
         self.routes = RouteTable(())
         self.endpoints_by_service: dict[str, list[EndpointRecord]] = {}
-        self.ownership: Ownership = EMPTY_OWNERSHIP
+        self.owner_table = OwnerTable()
+        self._ownership: Ownership | None = None
         self.owned: dict[str, OwnedEndpoint] = {}
         self.released: list[OwnedEndpoint] = []
         self.peer_pools = ConnectionPools()
@@ -129,22 +129,37 @@
         if old.evacuated != catalogue.evacuated:
             self.shift_limit.suspend(now_s + self.settings.bounds.stable_s)
         if old.endpoints.keys() != catalogue.endpoints.keys():
-            self.assign_endpoints()
+            self.invalidate_owners()
         self._update_owned(now_s)
 
-    def assign_endpoints(self) -> None:
-        """Assign an owner to each endpoint, as a shard of its own."""
-        shards = [
-            Shard(e.name, e.service, e.region, e.domain, ())
-            for e in sorted(
-                self.catalogue.endpoints.values(), key=lambda e: e.name
-            )
-        ]
-        candidates = [
+    def invalidate_owners(self) -> None:
+        """Note that the members or the endpoints changed.
+
+        The owners are computed when they are next read, once for all
+        changes until then.
+        """
+        self._ownership = None
+
+    @property
+    def ownership(self) -> Ownership:
+        """Owners of all endpoints, each of which is a shard of its own."""
+        if self._ownership is None:
+            self._ownership = self._assign_owners()
+        return self._ownership
+
+    def _assign_owners(self) -> Ownership:
+        endpoints = self.catalogue.endpoints
+        self.owner_table.set_shards(
+            [
+                Shard(e.name, e.service, e.region, e.domain, ())
+                for _, e in sorted(endpoints.items())
+            ]
+        )
+        self.owner_table.set_candidates(
             Candidate(record.name, record.region, record.domain)
             for record in self.membership.list_serving()
-        ]
-        self.ownership = assign_owners(shards, candidates)
+        )
+        return self.owner_table.assign()
 
     def _update_owned(self, now_s: float) -> None:
         for name, owned in list(self.owned.items()):
--- a/carawayvale/machines/entry_node.py
+++ b/carawayvale/machines/entry_node.py
@@ -32,14 +32,14 @@
 from carawayvale.telemetry.traces import Tracing
 from carawayvale.zones.credits import ShiftCreditTable
 from carawayvale.zones.headroom import HeadroomTable
-from carawayvale.zones.ownership import assign_owners
-from carawayvale.zones.ownership import Candidate
-from carawayvale.zones.ownership import EMPTY_OWNERSHIP
-from carawayvale.zones.ownership import Ownership
-from carawayvale.zones.ownership import Shard
+from carawayvale.zones.owner_table import assign_owners
+from carawayvale.zones.owner_table import EMPTY_OWNERSHIP
+from carawayvale.zones.owner_table import Ownership
 from carawayvale.zones.plan import DEFAULT_DEPLOYMENT
 from carawayvale.zones.plan import make_plan
 from carawayvale.zones.plan import RoutingPlan
+from carawayvale.zones.shards import Candidate
+from carawayvale.zones.shards import Shard
 
 # Only the first elected bridge reports its region to other regions. In a
 # full mesh, it alone relays their reports.
--- a/carawayvale/zones/__init__.py
+++ b/carawayvale/zones/__init__.py
@@ -26,14 +26,12 @@
         "LookupTarget",
         "rotate_targets",
     ),
-    "ownership": (
+    "owner_table": (
         "assign_owners",
-        "Candidate",
-        "list_shards",
         "order_candidates",
         "Ownership",
+        "OwnerTable",
         "score_candidate",
-        "Shard",
     ),
     "plan": (
         "list_blocks",
@@ -47,6 +45,11 @@
         "HeadroomTable",
         "OwnerReport",
     ),
+    "shards": (
+        "Candidate",
+        "list_shards",
+        "Shard",
+    ),
 }
 
 __all__ = list_names(MODULES)
--- a/carawayvale/zones/lookups.py
+++ b/carawayvale/zones/lookups.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 
 from carawayvale.links.messages import MemberRecord
-from carawayvale.zones.ownership import Ownership
-from carawayvale.zones.ownership import Shard
+from carawayvale.zones.owner_table import Ownership
+from carawayvale.zones.shards import Shard
 
 # Maximum number of alternates in the response to one look-up.
 MAX_ALTERNATES = 3
--- a/carawayvale/zones/plan.py
+++ b/carawayvale/zones/plan.py
@@ -13,8 +13,8 @@
 from carawayvale.zones.blocks import BlockTable
 from carawayvale.zones.blocks import NamedBlock
 from carawayvale.zones.limits import allot_all_quotas
-from carawayvale.zones.ownership import list_shards
-from carawayvale.zones.ownership import Shard
+from carawayvale.zones.shards import list_shards
+from carawayvale.zones.shards import Shard
 
 # Settings for a document without a deployment section.
 DEFAULT_DEPLOYMENT = Deployment(name="default", owner="none")
--- a/carawayvale/zones/tests/test_lookups.py
+++ b/carawayvale/zones/tests/test_lookups.py
@@ -5,8 +5,8 @@
 from carawayvale.zones import assign_owners
 from carawayvale.zones import list_lookup_targets
 from carawayvale.zones import rotate_targets
-from carawayvale.zones.tests.test_ownership import make_candidates
-from carawayvale.zones.tests.test_ownership import make_shards
+from carawayvale.zones.tests.test_owner_table import make_candidates
+from carawayvale.zones.tests.test_owner_table import make_shards
 
 ADDRESS = Address("127.0.0.1", 1)
 
