Dial a few seeds at a time, choose neighbours when members come or go

Cause: every instance of a starting fleet dialled all instances that the store listed and exchanged whole member lists with them, N x N links, and each change of any member's state made it order three rings anew. Change: three random seeds at a time (topology.choose_redials); neighbours follow joins and leaves only; who links with whom is a module of its own. Test: a starting fleet is not dialled as a whole (failed before: 195 addresses); a change of state is neither a join nor a leave.

--- a/carawayvale/gateway/change_feed.py
+++ b/carawayvale/gateway/change_feed.py
@@ -17,10 +17,10 @@
 from carawayvale.links.feed_messages import FeedItem
 from carawayvale.links.feed_messages import FeedRequest
 from carawayvale.links.feed_messages import FeedUpdate
-from carawayvale.links.membership import elect
 from carawayvale.links.peer_link import PeerLink
 from carawayvale.links.peers import PeerTable
 from carawayvale.links.peers import register_message_handler
+from carawayvale.links.topology import elect
 from carawayvale.platform.store_client import HistoryGone
 from carawayvale.platform.store_client import StoreClient
 from carawayvale.platform.store_client import StoreFailed
--- a/carawayvale/links/__init__.py
+++ b/carawayvale/links/__init__.py
@@ -65,12 +65,7 @@
         "Listener",
         "open_listener",
     ),
-    "membership": (
-        "choose_neighbours",
-        "elect",
-        "find_ring_neighbours",
-        "Membership",
-    ),
+    "membership": ("Membership",),
     "messages": (
         "BadMessage",
         "Challenge",
@@ -111,6 +106,12 @@
         "load_tls",
         "TlsContexts",
     ),
+    "topology": (
+        "choose_neighbours",
+        "choose_redials",
+        "elect",
+        "find_ring_neighbours",
+    ),
 }
 
 __all__ = list_names(MODULES)
--- a/carawayvale/links/membership.py
+++ b/carawayvale/links/membership.py
@@ -7,9 +7,9 @@
 
 import xxhash
 
-from carawayvale.contracts.hashing import hash_text
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links.messages import MemberState
+from carawayvale.links.topology import MAX_MESH_INSTANCES
 
 HEARTBEAT_INTERVAL_S = 0.5
 HEARTBEAT_TIMEOUT_S = 1.1
@@ -18,13 +18,6 @@
 # A longer time between two calls of advance is a pause of this process.
 PAUSE_THRESHOLD_S = 1.5
 DEAD_RETENTION_S = 600.0
-MAX_MESH_INSTANCES = 9
-RING_COUNT = 3
-# Bridges are the instances that link with other regions.
-BRIDGES_PER_REGION = 2
-
-ROLE_BRIDGE = "bridge"
-ROLE_WATCHER = "watcher"
 
 SERVING = frozenset({MemberState.ALIVE, MemberState.SUSPECT})
 
@@ -50,6 +43,8 @@
     :param dead_s: time at which each dead instance was declared dead.
     :param updates: changed records that are not sent yet, by name.
     :param generation: number of changes of the member list.
+    :param joins_and_leaves: number of changes of the set of instances
+        that are not dead.
     :param pauses: number of pauses of this process.
 
     >>> from carawayvale.contracts.address import Address
@@ -68,6 +63,7 @@
     dead_s: dict[str, float] = field(default_factory=dict)
     updates: dict[str, MemberRecord] = field(default_factory=dict)
     generation: int = 0
+    joins_and_leaves: int = 0
     pauses: int = 0
 
     def __post_init__(self):
@@ -106,6 +102,10 @@
 
     def _store(self, record: MemberRecord, now_s: float) -> None:
         name = record.name
+        known = self.records.get(name)
+        was_member = known is not None and known.is_member
+        if record.is_member != was_member:
+            self.joins_and_leaves += 1
         self.records[name] = record
         self.generation += 1
         self._view_hash = None
@@ -328,11 +328,7 @@
 
         :returns: records of all regions.
         """
-        return [
-            record
-            for record in self.records.values()
-            if record.state is not MemberState.DEAD
-        ]
+        return [record for record in self.records.values() if record.is_member]
 
     def list_local(self) -> list[MemberRecord]:
         """List the instances of this region that are not dead.
@@ -346,67 +342,3 @@
     def is_full_mesh(self) -> bool:
         """Whether the region of this instance forms a full mesh of links."""
         return len(self.list_local()) <= MAX_MESH_INSTANCES
-
-
-def elect(
-    members: Iterable[MemberRecord], region: str, role: str, count: int
-) -> tuple[str, ...]:
-    """Elect the instances of a region for a role by rendezvous hashing.
-
-    :param members: records of the live instances.
-    :param region: name of the region.
-    :param role: name of the role.
-    :param count: number of instances to elect.
-    :returns: names of the elected instances, in the order of their hashes.
-    """
-    names = [m.name for m in members if m.region == region]
-    names.sort(key=lambda n: hash_text(f"{role}|{n}"))
-    return tuple(names[:count])
-
-
-def choose_neighbours(
-    name: str, region: str, members: Iterable[MemberRecord]
-) -> frozenset[str]:
-    """Choose the neighbours of an instance in the link topology.
-
-    A region of up to MAX_MESH_INSTANCES is a full mesh. In a larger
-    region, each instance links with its two neighbours on each of three
-    rings, which are ordered by hashes with different salts. The diameter
-    of such a graph grows with the logarithm of the region size. The
-    bridges of all regions link with each other.
-
-    :param name: name of the instance.
-    :param region: region of the instance.
-    :param members: live instances of all regions.
-    :returns: names of the neighbours; the relation is symmetric.
-    """
-    listed = list(members)
-    local = [m.name for m in listed if m.region == region]
-    if len(local) <= MAX_MESH_INSTANCES or name not in local:
-        chosen = set(local)
-    else:
-        chosen = set()
-        for number in range(RING_COUNT):
-            chosen.update(find_ring_neighbours(name, local, number))
-    if name in elect(listed, region, ROLE_BRIDGE, BRIDGES_PER_REGION):
-        for other in {m.region for m in listed} - {region}:
-            chosen.update(
-                elect(listed, other, ROLE_BRIDGE, BRIDGES_PER_REGION)
-            )
-    chosen.discard(name)
-    return frozenset(chosen)
-
-
-def find_ring_neighbours(
-    name: str, names: Iterable[str], number: int
-) -> tuple[str, str]:
-    """Find the neighbours of an instance on one ring.
-
-    :param name: name of the instance.
-    :param names: names of all instances on the ring.
-    :param number: number of the ring, used as the salt of the hash.
-    :returns: names of the next and the previous instance.
-    """
-    ring = sorted(names, key=lambda n: hash_text(f"ring{number}|{n}"))
-    index = ring.index(name)
-    return ring[(index + 1) % len(ring)], ring[index - 1]
--- a/carawayvale/links/messages.py
+++ b/carawayvale/links/messages.py
@@ -80,6 +80,11 @@
         """Sort key for records of one instance; the highest wins."""
         return (self.incarnation, self.version, int(self.state))
 
+    @property
+    def is_member(self) -> bool:
+        """Whether the instance is not known to be dead."""
+        return self.state is not MemberState.DEAD
+
 
 @register_message(1)
 @dataclass(frozen=True)
--- a/carawayvale/links/peers.py
+++ b/carawayvale/links/peers.py
@@ -16,14 +16,12 @@
 from carawayvale.contracts.clock import Clock
 from carawayvale.links.http import connect
 from carawayvale.links.http import ConnectFailed
-from carawayvale.links.membership import choose_neighbours
 from carawayvale.links.membership import HEARTBEAT_INTERVAL_S
 from carawayvale.links.membership import Membership
 from carawayvale.links.messages import BadMessage
 from carawayvale.links.messages import Heartbeat
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links.messages import Members
-from carawayvale.links.messages import MemberState
 from carawayvale.links.messages import ProbeRequest
 from carawayvale.links.messages import Updates
 from carawayvale.links.peer_link import accept_link
@@ -34,6 +32,8 @@
 from carawayvale.links.peer_link import open_link
 from carawayvale.links.peer_link import pack_message
 from carawayvale.links.peer_link import PeerLink
+from carawayvale.links.topology import choose_neighbours
+from carawayvale.links.topology import choose_redials
 from carawayvale.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -166,8 +166,10 @@
         dialled.
     :param last_report_s: time at which reports were last sent.
     :param last_heartbeat_s: time at which heartbeats were last sent.
-    :param seen_generation: generation of the member list for which the
-        neighbours were chosen.
+    :param seen_generation: generation of the member list at the last call
+        of ``members_changed``.
+    :param seen_joins_and_leaves: joins and leaves for which the neighbours
+        were chosen.
     :param closed_traffic: traffic of the links that have ended.
     :param change_feed: receiver of store changes from peers, or
         None.
@@ -190,6 +192,7 @@
     last_report_s: float = 0.0
     last_heartbeat_s: float = 0.0
     seen_generation: int = -1
+    seen_joins_and_leaves: int = -1
     closed_traffic: Traffic = NO_TRAFFIC
     change_feed: Any = None
 
@@ -325,20 +328,20 @@
     async def update_neighbours(self) -> None:
         """Update the neighbours if the member list changed.
 
-        Chooses the neighbours anew, monitors them, and calls the callback
-        ``members_changed``.
+        Chooses the neighbours anew and monitors them if instances joined
+        or left, and calls the callback ``members_changed`` after any change.
         """
-        generation = self.membership.generation
-        if generation == self.seen_generation:
-            return
-        self.seen_generation = generation
-        own_record = self.membership.own_record
-        members = self.membership.list_members()
-        self.neighbours = choose_neighbours(
-            own_record.name, own_record.region, members
-        )
-        self.membership.monitor(self.neighbours, self.clock.read())
-        await self.callbacks.members_changed()
+        membership = self.membership
+        if membership.joins_and_leaves != self.seen_joins_and_leaves:
+            self.seen_joins_and_leaves = membership.joins_and_leaves
+            own_record = membership.own_record
+            self.neighbours = choose_neighbours(
+                own_record.name, own_record.region, membership.list_members()
+            )
+            membership.monitor(self.neighbours, self.clock.read())
+        if membership.generation != self.seen_generation:
+            self.seen_generation = membership.generation
+            await self.callbacks.members_changed()
 
     async def _probe(self, name: str) -> None:
         others = [other for other in self.links if other != name]
@@ -364,23 +367,10 @@
                 await self._dial(self.membership.records[name].peers)
         if now_s - self.last_redial_s >= REDIAL_INTERVAL_S:
             self.last_redial_s = now_s
-            for address in self._list_redial_addresses():
+            records = self.membership.records
+            for address in choose_redials(self.seeds, records, self.random):
                 await self._dial(address)
 
-    def _list_redial_addresses(self) -> list[Address]:
-        """List the seeds without a live member, and a random dead member."""
-        live = set()
-        dead = []
-        for record in self.membership.records.values():
-            if record.state is MemberState.DEAD:
-                dead.append(record.peers)
-            else:
-                live.add(record.peers)
-        addresses = [seed for seed in self.seeds if seed not in live]
-        if dead:
-            addresses.append(self.random.choice(dead))
-        return addresses
-
     async def _dial(self, address: Address) -> None:
         if (
             address in self.dialling
--- a/carawayvale/links/tests/test_membership.py
+++ b/carawayvale/links/tests/test_membership.py
@@ -1,14 +1,17 @@
 """Tests of the failure detector, over fake links in virtual time."""
 
+from dataclasses import replace
 import random
 
 from carawayvale.contracts import Address
 from carawayvale.links import choose_neighbours
+from carawayvale.links import choose_redials
 from carawayvale.links import elect
 from carawayvale.links import MemberRecord
 from carawayvale.links import Membership
 from carawayvale.links.membership import HEARTBEAT_INTERVAL_S
 from carawayvale.links import MemberState
+from carawayvale.links.topology import REDIAL_FANOUT
 
 PORT = Address("127.0.0.1", 1)
 TICK_INTERVAL_S = HEARTBEAT_INTERVAL_S / 2
@@ -229,3 +232,47 @@
         first = elect(members, "zurich", "watcher", 2)
         rest = [m for m in members if m.name != first[0]]
         assert elect(rest, "zurich", "watcher", 2)[0] == first[1]
+
+
+class TestRedials:
+    def list_seeds(self, count):
+        return [Address("127.0.0.1", 7000 + n) for n in range(count)]
+
+    def test_a_starting_fleet_is_not_dialled_as_a_whole(self):
+        own_record = make_record("zurich-0")
+        records = {own_record.name: own_record}
+        seeds = self.list_seeds(195)
+        chosen = choose_redials(seeds, records, random.Random(1))
+        assert len(chosen) == REDIAL_FANOUT
+        assert set(chosen) <= set(seeds)
+
+    def test_all_seeds_are_dialled_in_the_end(self):
+        generator = random.Random(1)
+        seeds = self.list_seeds(20)
+        dialled = set()
+        for _ in range(100):
+            dialled.update(choose_redials(seeds, {}, generator))
+        assert dialled == set(seeds)
+
+    def test_a_seed_with_a_live_member_is_not_dialled(self):
+        record = make_record("zurich-0")
+        assert not choose_redials([PORT], {"zurich-0": record}, random)
+
+
+class TestJoinsAndLeaves:
+    def test_a_change_of_state_is_neither(self):
+        network = FakeNetwork({"zurich": 3})
+        membership = network.members["zurich-0"]
+        before = membership.joins_and_leaves
+        membership.suspect("zurich-1", 1.0)
+        assert membership.joins_and_leaves == before
+
+    def test_a_death_and_a_return_are_counted(self):
+        network = FakeNetwork({"zurich": 3})
+        membership = network.members["zurich-0"]
+        before = membership.joins_and_leaves
+        record = make_record("zurich-1", incarnation=2)
+        dead = replace(record, state=MemberState.DEAD)
+        membership.receive(dead, 1.0)
+        membership.receive(replace(record, incarnation=3), 2.0)
+        assert membership.joins_and_leaves == before + 2
--- a/carawayvale/machines/entry_node.py
+++ b/carawayvale/machines/entry_node.py
@@ -18,12 +18,12 @@
 from carawayvale.links.document_messages import Reports
 from carawayvale.links.document_messages import ServiceHeadroom
 from carawayvale.links.document_replica import DocumentReplica
-from carawayvale.links.membership import elect
 from carawayvale.links.membership import Membership
-from carawayvale.links.membership import ROLE_BRIDGE
-from carawayvale.links.membership import ROLE_WATCHER
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links.tls import TlsContexts
+from carawayvale.links.topology import elect
+from carawayvale.links.topology import ROLE_BRIDGE
+from carawayvale.links.topology import ROLE_WATCHER
 from carawayvale.machines.caller_request import CallerRequestParser
 from carawayvale.machines.dispatcher import Dispatcher
 from carawayvale.machines.shard_queue import ShardQueue
