Compare remote endpoints and spawn tasks only where needed

Cause: every request scored and sorted the endpoints of all regions, and each response spawned a task only to notice that its handler had ended. Change: ObjectPlacement orders a region when it is used; the handler's own task wakes the writer. Test: other regions are not compared before they are used (failed before: all 46 endpoints were scored).

--- a/carawayvale/gateway/proxy_handler.py
+++ b/carawayvale/gateway/proxy_handler.py
@@ -19,8 +19,7 @@
 from carawayvale.gateway.server import Response
 from carawayvale.gateway.upstream import UpstreamOutcome
 from carawayvale.gateway.upstream import UpstreamResult
-from carawayvale.steering.placement import list_first_choices
-from carawayvale.steering.placement import order_endpoints
+from carawayvale.steering.placement import ObjectPlacement
 from carawayvale.steering.routing import choose_weighted_service
 from carawayvale.telemetry.logs import log_event
 
@@ -158,18 +157,16 @@
         too fast. Failing endpoints come next, and responses after the
         objective last.
         """
-        local, remote = self._list_candidates(context)
-        remote_first = self.node.shift_limit.requires_remote(read_boot_clock())
-        first_remote = list_first_choices(remote)
+        placement = self._place_object(context)
         groups = [
-            local[:MAX_LOCAL_ENDPOINTS],
-            first_remote[:MAX_REMOTE_ENDPOINTS],
+            lambda: placement.local[:MAX_LOCAL_ENDPOINTS],
+            lambda: placement.first_remote[:MAX_REMOTE_ENDPOINTS],
         ]
-        if remote_first:
+        if self.node.shift_limit.requires_remote(read_boot_clock()):
             groups.reverse()
-        for group in groups:
+        for list_group in groups:
             result = await self._attempt_endpoints(
-                context, group, context.owner_request
+                context, list_group(), context.owner_request
             )
             if result is not None or context.no_more_attempts:
                 return result
@@ -180,18 +177,13 @@
         if result is not None or context.no_more_attempts:
             return result
         late = replace(with_failing, may_be_late=True)
-        candidates = self._order_late_candidates(context, local, remote)
+        candidates = self._order_late_candidates(context, placement)
         return await self._attempt_endpoints(
             context, candidates[:MAX_LATE_ENDPOINTS], late
         )
 
-    def _list_candidates(
-        self, context: RequestContext
-    ) -> tuple[list[EndpointRecord], list[EndpointRecord]]:
-        """List the usable endpoints in the order for the object.
-
-        :returns: endpoints of the own region, endpoints of other regions.
-        """
+    def _place_object(self, context: RequestContext) -> ObjectPlacement:
+        """Order the usable endpoints for the object of a request."""
         node = self.node
         allowed_regions = context.route.allowed_regions
         usable = [
@@ -202,16 +194,12 @@
             and (not allowed_regions or e.region in allowed_regions)
         ]
         key = context.owner_request.key or context.request_id
-        region = node.settings.region
-        ordered = order_endpoints(usable, f"{context.service}|{key}", region)
-        local = [e for e in ordered if e.region == region]
-        return local, [e for e in ordered if e.region != region]
+        return ObjectPlacement(
+            usable, f"{context.service}|{key}", node.settings.region
+        )
 
     def _order_late_candidates(
-        self,
-        context: RequestContext,
-        local: list[EndpointRecord],
-        remote: list[EndpointRecord],
+        self, context: RequestContext, placement: ObjectPlacement
     ) -> list[EndpointRecord]:
         """Order the endpoints that may respond after the objective.
 
@@ -219,12 +207,13 @@
         then by the time until the request would be complete. Without
         full endpoints, the order for the object applies.
         """
-        full = [e for e in local + remote if e.name in context.full]
+        attempted = placement.local + placement.first_remote
+        full = [e for e in attempted if e.name in context.full]
         preferred = set(context.preferred.values())
         full.sort(
             key=lambda e: (e.name not in preferred, context.full[e.name])
         )
-        return full or local or remote
+        return full or placement.local or placement.remote
 
     async def _attempt_endpoints(
         self,
--- a/carawayvale/gateway/server.py
+++ b/carawayvale/gateway/server.py
@@ -312,6 +312,7 @@
 
     request: Request
     task: curio.Task | None = None
+    response: Response | None = None
 
 
 class ServerConnection:
@@ -399,9 +400,19 @@
 
     async def _start_handler(self, open_request: OpenRequest) -> None:
         open_request.task = await curio.spawn(
-            self.server.handle, open_request.request, daemon=True
+            self._handle, open_request, daemon=True
         )
 
+    async def _handle(self, open_request: OpenRequest) -> None:
+        """Handle a request, and wake the task that writes responses."""
+        try:
+            response = await self.server.handle(open_request.request)
+        except Exception as error:
+            log_event("request_crashed", "ERROR", cause=repr(error))
+            response = Response(500, close=True)
+        open_request.response = response
+        await self.changed.set()
+
     async def _write_responses(self) -> None:
         while True:
             while not self.pipeline:
@@ -446,27 +457,12 @@
         self, open_request: OpenRequest
     ) -> Response | None:
         """Wait for a response while the caller is connected."""
-        notifier = await curio.spawn(
-            self._notify_when_done, open_request.task, daemon=True
-        )
-        while not open_request.task.terminated:
+        while open_request.response is None:
             if self.input_ended and not self.error_status:
-                await notifier.cancel(blocking=False)
                 return None
             self.changed.clear()
             await self.changed.wait()
-        if open_request.task.exception is not None:
-            log_event(
-                "request_crashed",
-                "ERROR",
-                cause=repr(open_request.task.exception),
-            )
-            return Response(500, close=True)
-        return open_request.task.result
-
-    async def _notify_when_done(self, task: curio.Task) -> None:
-        await task.wait()
-        await self.changed.set()
+        return open_request.response
 
     async def _send(self, data: bytes) -> bool:
         try:
--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -14,7 +14,7 @@
         "HealthSignal",
     ),
     "placement": (
-        "list_first_choices",
+        "ObjectPlacement",
         "order_endpoints",
         "score_endpoint",
     ),
--- a/carawayvale/steering/placement.py
+++ b/carawayvale/steering/placement.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Iterable
-from collections.abc import Sequence
+from functools import cached_property
 import math
 
 from carawayvale.catalogue.records import EndpointRecord
@@ -46,18 +46,53 @@
     )
 
 
-def list_first_choices(
-    ordered: Sequence[EndpointRecord],
-) -> list[EndpointRecord]:
-    """List the first choice of each region for an object.
+class ObjectPlacement:
+    """Endpoints for one object, ordered region by region when needed.
 
-    The first choice of a region keeps the object warm for the callers of
-    that region. Other endpoints there would need a warm-up.
+    Most requests are served by the first choices of the own region, so
+    the endpoints of other regions are not compared before they are used.
 
-    :param ordered: endpoints in their order for the object.
-    :returns: the first of each region, in the same order.
+    :param endpoints: the endpoints that may serve the object.
+    :param key: the object.
+    :param region: the own region.
     """
-    first: dict[str, EndpointRecord] = {}
-    for endpoint in ordered:
-        first.setdefault(endpoint.region, endpoint)
-    return list(first.values())
+
+    def __init__(
+        self, endpoints: Iterable[EndpointRecord], key: str, region: str
+    ):
+        self.key = key
+        self.region = region
+        self.by_region: dict[str, list[EndpointRecord]] = {}
+        for endpoint in endpoints:
+            self.by_region.setdefault(endpoint.region, []).append(endpoint)
+
+    @cached_property
+    def local(self) -> list[EndpointRecord]:
+        """Endpoints of the own region, the best first."""
+        endpoints = self.by_region.get(self.region, ())
+        return order_endpoints(endpoints, self.key, self.region)
+
+    @cached_property
+    def first_remote(self) -> list[EndpointRecord]:
+        """First choice of each other region, the best first.
+
+        It keeps the object warm for the callers of its region. Other
+        endpoints there would need a warm-up.
+        """
+        first = [
+            max(endpoints, key=lambda e: score_endpoint(self.key, e))
+            for region, endpoints in self.by_region.items()
+            if region != self.region
+        ]
+        return order_endpoints(first, self.key, self.region)
+
+    @cached_property
+    def remote(self) -> list[EndpointRecord]:
+        """Endpoints of all other regions, the best first."""
+        endpoints = [
+            endpoint
+            for region, members in self.by_region.items()
+            if region != self.region
+            for endpoint in members
+        ]
+        return order_endpoints(endpoints, self.key, self.region)
--- a/carawayvale/steering/tests/test_decisions.py
+++ b/carawayvale/steering/tests/test_decisions.py
@@ -11,8 +11,10 @@
 from carawayvale.steering.health import EndpointHealth
 from carawayvale.steering.health import FAILURES_TO_EJECT
 from carawayvale.steering.health import HealthSignal
-from carawayvale.steering.placement import list_first_choices
+from carawayvale.steering import placement
+from carawayvale.steering.placement import ObjectPlacement
 from carawayvale.steering.placement import order_endpoints
+from carawayvale.steering.placement import score_endpoint
 from carawayvale.steering.rates import ColdRateLimit
 from carawayvale.steering.rates import FleetRetryBudget
 from carawayvale.steering.rates import SHIFT_WINDOW_S
@@ -106,10 +108,25 @@
         """Load that overflows to another region finds warm objects there."""
         endpoints = make_endpoints(6) + make_endpoints(4, "geneva")
         for key in map(str, range(50)):
-            remote = order_endpoints(endpoints, key, "geneva")[0]
+            at_home = ObjectPlacement(endpoints, key, "geneva")
+            abroad = ObjectPlacement(endpoints, key, "zurich")
+            assert abroad.first_remote == [at_home.local[0]]
             ordered = order_endpoints(endpoints, key, "zurich")
-            found = list_first_choices(ordered)
-            assert found == [ordered[0], remote]
+            assert abroad.local + abroad.remote == ordered
+
+    def test_other_regions_are_not_compared_before_they_are_used(
+        self, monkeypatch
+    ):
+        endpoints = make_endpoints(6) + make_endpoints(40, "geneva")
+        scored = []
+
+        def record_score(key, endpoint):
+            scored.append(endpoint.region)
+            return score_endpoint(key, endpoint)
+
+        monkeypatch.setattr(placement, "score_endpoint", record_score)
+        assert len(ObjectPlacement(endpoints, "k", "zurich").local) == 6
+        assert set(scored) == {"zurich"}
 
 
 class TestColdLimit:
