Send a request for a new object again while its endpoint has free slots

Change: an idempotent request for a new object that is not known to be in time is sent again to the same endpoint once the first has reached it, if a slot is free, nobody waits, the endpoint is not cold and the retry budget has room; the first answer counts and the other exchange ends. Endpoints where that is seldom faster get no more of it. A quarter of the budget stays for requests that failed.

--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -39,6 +39,10 @@
 FULL_BACKOFF_S = 0.05
 REMOTE_FULL_BACKOFF_S = 0.15
 
+# Fraction of the retry budget that repeats for new objects leave for
+# requests that failed.
+REPEAT_RESERVE = 0.25
+
 
 @dataclass(frozen=True)
 class FullEndpoint:
@@ -210,13 +214,23 @@
         if service is None:
             return None
         owned = OwnedEndpoint(
-            self.header_names, endpoint, service, self.observer
+            self.header_names,
+            endpoint,
+            service,
+            self.observer,
+            lambda: self._may_repeat(service.name),
         )
         owned.blocked = endpoint.domain in self.catalogue.evacuated
         self.owned[name] = owned
         log_event("endpoint_owned", endpoint=name, service=service.name)
         return owned
 
+    def _may_repeat(self, service: str) -> bool:
+        """Spend one retry of the budget for a repeat, if one is left."""
+        return self.find_retry_budget(service).spend(
+            read_boot_clock(), len(self.membership.records), REPEAT_RESERVE
+        )
+
     def list_owners(
         self,
         endpoint: EndpointRecord,
--- a/carawayvale/gateway/owned_endpoint.py
+++ b/carawayvale/gateway/owned_endpoint.py
@@ -3,6 +3,7 @@
 Only the owner of an endpoint sends requests to it.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import replace
 
@@ -28,6 +29,8 @@
 from carawayvale.steering.health import EndpointHealth
 from carawayvale.steering.health import HealthSignal
 from carawayvale.steering.rates import ColdRateLimit
+from carawayvale.steering.repeats import RepeatPolicy
+from carawayvale.steering.repeats import start_repeat
 from carawayvale.telemetry.logs import log_event
 
 CHECK_TIMEOUT_S = 0.5
@@ -118,6 +121,8 @@
     :param endpoint: the endpoint.
     :param service: service of the endpoint.
     :param observer: records metrics and logs of the requests.
+    :param may_repeat: spends a retry of the budget for a repeat and
+        returns whether there was one.
     """
 
     def __init__(
@@ -126,9 +131,12 @@
         endpoint: EndpointRecord,
         service: ServiceRecord,
         observer: RequestObserver,
+        may_repeat: Callable[[], bool],
     ):
         self.header_names = header_names
         self.observer = observer
+        self.may_repeat = may_repeat
+        self.repeat_policy = RepeatPolicy()
         self.endpoint = endpoint
         self.service = service
         self.queue = EndpointQueue(endpoint.slots)
@@ -244,7 +252,8 @@
         finally:
             self.waiters.pop(queued, None)
             self.queue.withdraw(queued)
-            self.queue.release(queued, read_boot_clock(), success)
+            served = success and not queued.answered_by_repeat
+            self.queue.release(queued, read_boot_clock(), served)
             await self.dispatch()
 
     async def _await_slot(self, queued: QueuedRequest) -> bool:
@@ -305,6 +314,17 @@
         remaining_s = owner_request.deadline_s - now_s
         if remaining_s <= 0:
             return UpstreamResult(UpstreamOutcome.FULL, queued.service_time_s)
+        delay_s = None
+        if owner_request.idempotent:
+            delay_s = self.repeat_policy.find_delay(queued)
+        if delay_s is None:
+            return await self._exchange(owner_request, queued)
+        return await self._exchange_repeatedly(owner_request, queued, delay_s)
+
+    async def _exchange(
+        self, owner_request: OwnerRequest, queued: QueuedRequest
+    ) -> UpstreamResult:
+        remaining_s = owner_request.deadline_s - read_boot_clock()
         self.in_flight[queued] = owner_request.request
         try:
             result = await self.upstream.send(
@@ -316,6 +336,74 @@
         self._record_run(owner_request, queued, result)
         return result
 
+    async def _exchange_repeatedly(
+        self,
+        owner_request: OwnerRequest,
+        queued: QueuedRequest,
+        delay_s: float,
+    ) -> UpstreamResult:
+        """Send a request, and once more if it takes longer than a delay.
+
+        The exchange that is not needed any more is cancelled.
+        """
+        result = None
+        async with curio.TaskGroup() as group:
+            first = await group.spawn(self._exchange, owner_request, queued)
+            async with curio.ignore_after(delay_s):
+                await first.wait()
+            if not first.terminated:
+                await group.spawn(self._repeat, owner_request, queued)
+            async for task in group:
+                result = self._choose_result(result, task.result)
+                if result is not None and result.is_success:
+                    queued.answered_by_repeat = task is not first
+                    await group.cancel_remaining()
+                    break
+        return result
+
+    @staticmethod
+    def _choose_result(
+        known: UpstreamResult | None, result: UpstreamResult | None
+    ) -> UpstreamResult | None:
+        """Choose between the results of a request and of its repeat.
+
+        A result that tells that the request may have run takes precedence
+        over one that tells that it did not.
+        """
+        if known is None or result is None:
+            return known or result
+        if result.is_success or known.outcome is UpstreamOutcome.NOT_RUN:
+            return result
+        return known
+
+    async def _repeat(
+        self, owner_request: OwnerRequest, first: QueuedRequest
+    ) -> UpstreamResult | None:
+        """Send a request a second time if the endpoint has a free slot.
+
+        :returns: the result; None if it was not sent again.
+        """
+        now_s = read_boot_clock()
+        if not self.is_usable or self.health.is_failing:
+            return None
+        repeat = start_repeat(self.queue, first, now_s)
+        if repeat is None:
+            return None
+        success = False
+        try:
+            if not self.may_repeat():
+                return None
+            result = await self._exchange(owner_request, repeat)
+            success = result.is_success
+            self.repeat_policy.record(success)
+            return result
+        except curio.CancelledError:
+            self.repeat_policy.record(False)
+            raise
+        finally:
+            self.queue.release(repeat, read_boot_clock(), success)
+            await self.dispatch()
+
     def _record_run(
         self,
         owner_request: OwnerRequest,
--- a/carawayvale/gateway/upstream.py
+++ b/carawayvale/gateway/upstream.py
@@ -123,7 +123,7 @@
         self.header_names = header_names
         self.endpoint = endpoint
         self.pool = ConnectionPool(endpoint.address)
-        self.abortable: dict[int, HttpClient] = {}
+        self.abortable: dict[int, set[HttpClient]] = {}
 
     async def send(
         self, request: Request, remaining_s: float, idempotent: bool
@@ -142,9 +142,8 @@
         except ConnectFailed as error:
             return UpstreamResult(UpstreamOutcome.UNSENT, cause=str(error))
         reusable = False
-        token = id(request)
         if idempotent:
-            self.abortable[token] = client
+            self.abortable.setdefault(id(request), set()).add(client)
         try:
             async with curio.timeout_after(remaining_s + DEADLINE_MARGIN_S):
                 result = await self._exchange(client, request, remaining_s)
@@ -159,7 +158,7 @@
         except ConnectionBroken as error:
             result = UpstreamResult(UpstreamOutcome.FAILED, cause=str(error))
         finally:
-            self.abortable.pop(token, None)
+            self._forget(request, client)
             if not reusable:
                 await client.close()
         if reusable:
@@ -167,16 +166,21 @@
         return result
 
     def abort(self, request: Request) -> None:
-        """Abort the exchange of an idempotent request.
+        """Abort the exchanges of an idempotent request.
 
         The exchange of a request that may run only once continues.
 
         :param request: the request.
         """
-        client = self.abortable.get(id(request))
-        if client is not None:
+        for client in self.abortable.get(id(request), ()):
             client.abort()
 
+    def _forget(self, request: Request, client: HttpClient) -> None:
+        clients = self.abortable.get(id(request), set())
+        clients.discard(client)
+        if not clients:
+            self.abortable.pop(id(request), None)
+
     async def _exchange(
         self, client: HttpClient, request: Request, remaining_s: float
     ) -> UpstreamResult:
--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -24,6 +24,10 @@
         "ShiftLimit",
         "WindowCounter",
     ),
+    "repeats": (
+        "RepeatPolicy",
+        "start_repeat",
+    ),
     "routing": (
         "choose_weighted_service",
         "RouteTable",
--- a/carawayvale/steering/admission.py
+++ b/carawayvale/steering/admission.py
@@ -66,7 +66,10 @@
     :param service_time_s: estimated service time in seconds.
     :param queue_class: class that decides when it starts.
     :param is_warm: whether the endpoint handled the object lately.
+    :param has_estimate: whether the estimate rests on samples.
     :param reuse_distance: see :meth:`ServiceTimes.record_use`.
+    :param answered_by_repeat: whether a repeat was answered first, so
+        that its service time is not known.
     """
 
     rank: int
@@ -80,7 +83,9 @@
     service_time_s: float = 0.0
     queue_class: QueueClass = QueueClass.IN_TIME
     is_warm: bool = False
+    has_estimate: bool = False
     reuse_distance: int = 0
+    answered_by_repeat: bool = False
 
 
 @dataclass(frozen=True)
@@ -165,6 +170,7 @@
         """Set whether the object is warm, and the estimated service time."""
         request.is_warm = self.service_times.is_warm(request.key)
         request.service_time_s = self.service_times.estimate(request.key)
+        request.has_estimate = self.service_times.has_sample(request.key)
         if not request.service_time_s:
             request.service_time_s = INITIAL_SERVICE_FRACTION * max(
                 0.0, request.objective_s - now_s
--- a/carawayvale/steering/rates.py
+++ b/carawayvale/steering/rates.py
@@ -124,17 +124,21 @@
         """
         self.requests.add(now_s)
 
-    def spend(self, now_s: float, instances: int) -> bool:
+    def spend(
+        self, now_s: float, instances: int, reserve: float = 0.0
+    ) -> bool:
         """Spend one retry of the budget if one is left.
 
         :param now_s: the time.
         :param instances: number of instances that share the fixed
             allowance.
+        :param reserve: fraction of the budget that is left for others.
         :returns: whether the retry may be sent.
         """
         extra_share = self.extra / max(1, instances)
         allowed = self.ratio * self.requests.count(now_s) + extra_share
-        if self.retries.count(now_s) + 1 > RETRY_FRACTION * allowed:
+        allowed *= RETRY_FRACTION * (1 - reserve)
+        if self.retries.count(now_s) + 1 > allowed:
             return False
         self.retries.add(now_s)
         return True
--- a/carawayvale/steering/service_times.py
+++ b/carawayvale/steering/service_times.py
@@ -104,6 +104,17 @@
             return self.warm_s or self.new_s
         return self.new_s or self.warm_s
 
+    def has_sample(self, key: str) -> bool:
+        """Tell whether the estimate for an object rests on its own kind.
+
+        :param key: the object; empty for none.
+        :returns: whether a request for an object of the same kind, warm
+            or new, was measured.
+        """
+        if not key:
+            return self.no_object_s > 0
+        return (self.warm_s if key in self.objects else self.new_s) > 0
+
     def record(
         self, key: str, is_warm: bool, took_s: float, reuse_distance: int = 0
     ) -> None:
