Spread changes of the store on a tree of links instead of all of them

Cause: counted in the lead of the large site, an instance sent 290 KB in ten seconds, 160 to 200 KB of it store changes: every starting instance published all it had read to six peers, and each change crossed every link of the region, most of them twice. Change: what an instance reads itself is not published; links on which a known change arrives carry notices only, twice a second, of the revision half a second ago; a peer that lacks changes requests them and gets them at once again. Member records are not sent back to the peer they came from.

--- a/carawayvale/gateway/change_feed.py
+++ b/carawayvale/gateway/change_feed.py
@@ -14,9 +14,11 @@
 from carawayvale.catalogue.replica import StoredItem
 from carawayvale.catalogue.replica import StoreReplica
 from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.feed_peers import FeedPeers
 from carawayvale.links.feed_messages import FeedItem
 from carawayvale.links.feed_messages import FeedRequest
 from carawayvale.links.feed_messages import FeedUpdate
+from carawayvale.links.peer_link import pack_message
 from carawayvale.links.peer_link import PeerLink
 from carawayvale.links.peers import PeerTable
 from carawayvale.links.peers import register_message_handler
@@ -56,6 +58,9 @@
 # Peers are told at least this often that the store confirmed the state.
 CONFIRM_INTERVAL_S = 0.5
 
+# Interval of the notices on links that carry no changes.
+NOTICE_INTERVAL_S = 0.5
+
 ApplyItems = Callable[[list[StoredItem], float], Awaitable[list[StoredItem]]]
 
 
@@ -114,6 +119,7 @@
         self.watching = False
         self.elected_generation = -1
         self.watch_position = MAX_WATCHERS
+        self.feed_peers = FeedPeers()
         peers.change_feed = self
 
     def find_watch_position(self) -> int:
@@ -192,6 +198,11 @@
                 reading.items, reading.since, reading.revision
             )
             self.complete = True
+            await self._apply(changed, read_boot_clock())
+            # Peers read the store themselves, or request what they lack.
+            self.published_revision = self.replica.revision
+            await self._publish([])
+            return
         else:
             changes = await self.store.watch(
                 "", self.replica.revision, WATCH_WAIT_S
@@ -219,7 +230,49 @@
         update = FeedUpdate(
             since, self.published_revision, 0.0, pack_items(items)
         )
-        await self.peers.send_to_region(update, "")
+        await self._send_update(update, "")
+
+    async def _send_update(self, update: FeedUpdate, source: str) -> None:
+        """Send an update to the peers of the region that may lack it.
+
+        :param update: the update.
+        :param source: name of a peer to leave out.
+        """
+        data = pack_message(update)
+        for link in self.peers.list_region_links(source):
+            name = link.peer.name
+            known = self.feed_peers.find(name)
+            confirms_only = not update.items and not known.notices_only
+            if confirms_only or self.feed_peers.wants_update(
+                name, update.revision
+            ):
+                await link.post_packed(data)
+
+    async def run_notices(self) -> None:
+        """Send notices of the replica's revision until cancelled.
+
+        A notice tells the revision of one interval ago, which changes
+        that are sent at once have reached everywhere since.
+        """
+        revision, confirmed_s = 0, 0.0
+        while True:
+            await curio.sleep(NOTICE_INTERVAL_S)
+            age_s = max(0.0, read_boot_clock() - confirmed_s)
+            if revision and not self.peers.membership.is_full_mesh:
+                notice = FeedUpdate(revision, revision, age_s, ())
+                await self._send_notice(notice)
+            revision = self.replica.revision if self.complete else 0
+            confirmed_s = self.confirmed_s
+
+    async def _send_notice(self, notice: FeedUpdate) -> None:
+        links = {
+            link.peer.name: link for link in self.peers.list_region_links("")
+        }
+        for name in self.feed_peers.peers.keys() - links.keys():
+            self.feed_peers.forget(name)
+        data = pack_message(notice)
+        for name in self.feed_peers.list_notices(list(links)):
+            await links[name].post_packed(data)
 
     async def _request_from_peers(self) -> None:
         """Request all items from peers if the replica is not complete."""
@@ -241,6 +294,12 @@
         :param update: the changes.
         """
         now_s = read_boot_clock()
+        self.feed_peers.record_update(
+            link.peer.name,
+            update.revision,
+            self.replica.revision,
+            bool(update.items),
+        )
         gap = update.since > self.replica.revision
         revision = self.replica.revision if gap else update.revision
         changed = self.replica.apply(unpack_items(update.items), revision)
@@ -255,7 +314,7 @@
         newer = confirmed_s > self.confirmed_s + POLL_S
         await self._apply(changed, self.confirmed_s if gap else confirmed_s)
         if (changed or newer) and not self.peers.membership.is_full_mesh:
-            await self.peers.send_to_region(update, link.peer.name)
+            await self._send_update(update, link.peer.name)
 
     async def _request_missing(self, link: PeerLink, now_s: float) -> None:
         """Request the changes after the replica's revision from a peer."""
@@ -270,6 +329,7 @@
         :param link: link with the peer.
         :param request: the peer's request.
         """
+        self.feed_peers.record_request(link.peer.name)
         if not self.complete:
             return
         items = self.replica.collect_since(request.after)
--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -126,6 +126,7 @@
         tasks += [
             self.peers.run,
             self.change_feed.run,
+            self.change_feed.run_notices,
             self.registration.run,
             self._tick,
             self._stop_when_requested,
--- a/carawayvale/links/handlers.py
+++ b/carawayvale/links/handlers.py
@@ -60,7 +60,7 @@
         if table.membership.receive(record, now_s):
             log_state_change(known, record)
     await table.update_neighbours()
-    await table.send_updates()
+    await table.send_updates(link.peer.name, message.records)
 
 
 def log_state_change(known: Any, record: Any) -> None:
--- a/carawayvale/links/peers.py
+++ b/carawayvale/links/peers.py
@@ -318,7 +318,7 @@
         :param source: name of the peer that sent the reports.
         """
         data = pack_message(reports)
-        links = self._list_region_links(source)
+        links = self.list_region_links(source)
         if not self.membership.is_full_mesh:
             count = min(RELAY_FANOUT, len(links))
             links = self.random.sample(links, count)
@@ -413,27 +413,33 @@
             )
         )
 
-    async def send_updates(self) -> None:
-        """Send changed member records on each link."""
+    async def send_updates(
+        self, source: str = "", known: tuple[MemberRecord, ...] = ()
+    ) -> None:
+        """Send changed member records on each link.
+
+        :param source: name of the peer whose message caused the changes.
+        :param known: records that it sent, and does not get back.
+        """
         while records := self.membership.take_updates(MAX_UPDATES_PER_MESSAGE):
-            await self._broadcast(Updates(records))
+            await self._broadcast(Updates(records), source)
+            active = self.links.get(source)
+            unknown = tuple(r for r in records if r not in known)
+            if active is not None and unknown:
+                await active.link.post(Updates(unknown))
 
-    async def _broadcast(self, message: Any) -> None:
+    async def _broadcast(self, message: Any, without: str = "") -> None:
         data = pack_message(message)
-        for active in list(self.links.values()):
-            await active.link.post_packed(data)
+        for name, active in list(self.links.items()):
+            if name != without:
+                await active.link.post_packed(data)
 
-    async def send_to_region(self, message: Any, source: str) -> None:
-        """Send a message to all linked peers in the region of this instance.
+    def list_region_links(self, source: str) -> list[PeerLink]:
+        """List the links with peers of the region of this instance.
 
-        :param message: the message.
         :param source: name of a peer to leave out.
+        :returns: the links.
         """
-        data = pack_message(message)
-        for link in self._list_region_links(source):
-            await link.post_packed(data)
-
-    def _list_region_links(self, source: str) -> list[PeerLink]:
         region = self.membership.own_record.region
         return [
             active.link
