Split the state of an owned endpoint, count remote requests as they come

owned_endpoint had grown to 560 lines: requests for owners, checks of endpoints and the exchange that may be repeated are modules of their own. The limit on shifts went through four seconds of requests twice for every request; it keeps counts of both windows now, with the same decisions.

--- /dev/null
+++ b/carawayvale/gateway/endpoint_checks.py
@@ -0,0 +1,82 @@
+"""Checks of endpoints that are ejected or have overdue requests."""
+
+from typing import TYPE_CHECKING
+
+import curio
+
+from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.links.connections import OutgoingCall
+from carawayvale.links.http import connect
+from carawayvale.links.http import ConnectionBroken
+from carawayvale.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from carawayvale.gateway.owned_endpoint import OwnedEndpoint
+
+CHECK_TIMEOUT_S = 0.5
+MAX_CHECK_BYTES = 65536
+
+
+async def check_reachable(owned: "OwnedEndpoint") -> None:
+    """Eject an endpoint if it accepts no connection.
+
+    :param owned: the endpoint.
+    """
+    try:
+        sock = await connect(owned.endpoint.address, CHECK_TIMEOUT_S)
+    except ConnectionBroken as error:
+        owned.health.eject(read_boot_clock())
+        owned.record_ejection(f"no connection: {error}")
+        await owned.upstream.pool.close()
+        await owned.notify_waiters()
+        owned.abort_in_flight()
+        return
+    await sock.close()
+
+
+async def check_healthy(owned: "OwnedEndpoint") -> None:
+    """Restore an ejected endpoint if its health check passes.
+
+    :param owned: the endpoint.
+    """
+    name = owned.endpoint.name.encode("latin-1")
+    host = str(owned.endpoint.address).encode()
+    call = OutgoingCall("GET", owned.service.health_path, [(b"host", host)])
+    passed = False
+    cold_s = 0.0
+    try:
+        response = await owned.upstream.pool.exchange(
+            call, CHECK_TIMEOUT_S, MAX_CHECK_BYTES
+        )
+        same_name = response.head.find(owned.header_names.endpoint) == name
+        passed = same_name and response.head.status == 200
+        cold_s = parse_cold(response.head.find(owned.header_names.cold_ms))
+    except (ConnectionBroken, curio.TaskTimeout) as error:
+        log_event(
+            "check_failed",
+            "DEBUG",
+            endpoint=owned.endpoint.name,
+            cause=repr(error),
+        )
+    now_s = read_boot_clock()
+    owned.health.record_check(passed, now_s)
+    if passed:
+        owned.extend_cold(cold_s, now_s)
+        log_event(
+            "endpoint_restored",
+            endpoint=owned.endpoint.name,
+            cold_s=cold_s,
+        )
+        await owned.notify_waiters()
+
+
+def parse_cold(value: bytes | None) -> float:
+    """Parse how long an endpoint stays cold.
+
+    :param value: milliseconds, or None.
+    :returns: seconds; 0 if the value is missing or malformed.
+    """
+    try:
+        return max(0.0, float(value) / 1000.0) if value else 0.0
+    except ValueError:
+        return 0.0
--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -12,7 +12,7 @@
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.gateway_node import GatewayNode
-from carawayvale.gateway.owned_endpoint import OwnerRequest
+from carawayvale.gateway.owner_request import OwnerRequest
 from carawayvale.gateway.server import Request
 from carawayvale.gateway.server import Response
 from carawayvale.gateway.upstream import MAX_RESPONSE_BYTES
--- a/carawayvale/gateway/observer.py
+++ b/carawayvale/gateway/observer.py
@@ -104,6 +104,15 @@
         """
         self.metrics.count("refusals", f"{rank}/{reason}")
 
+    def count_repeat(self, service: str, outcome: str) -> None:
+        """Count a second request for a new object by its outcome.
+
+        :param service: name of the service.
+        :param outcome: ``faster``, ``slower`` or ``failed``; ``no_slot``
+            and ``no_budget`` if it was not sent.
+        """
+        self.metrics.count("repeats", f"{service}/{outcome}")
+
     def record_ejection(self, service: str, endpoint: str, cause: str) -> None:
         """Count and log that an endpoint is ejected.
 
--- a/carawayvale/gateway/owned_endpoint.py
+++ b/carawayvale/gateway/owned_endpoint.py
@@ -4,7 +4,6 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from dataclasses import replace
 
 import curio
@@ -13,28 +12,26 @@
 from carawayvale.catalogue.records import EndpointRecord
 from carawayvale.catalogue.records import ServiceRecord
 from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.endpoint_checks import check_healthy
+from carawayvale.gateway.endpoint_checks import check_reachable
 from carawayvale.gateway.observer import format_ms
 from carawayvale.gateway.observer import RequestObserver
+from carawayvale.gateway.owner_request import OwnerRequest
+from carawayvale.gateway.repeated_exchange import RepeatedExchange
 from carawayvale.gateway.server import Request
 from carawayvale.gateway.upstream import HTTP_MISDIRECTED
 from carawayvale.gateway.upstream import HTTP_SERVER_ERROR
 from carawayvale.gateway.upstream import Upstream
 from carawayvale.gateway.upstream import UpstreamOutcome
 from carawayvale.gateway.upstream import UpstreamResult
-from carawayvale.links.connections import OutgoingCall
-from carawayvale.links.http import connect
-from carawayvale.links.http import ConnectionBroken
 from carawayvale.steering.admission import EndpointQueue
 from carawayvale.steering.admission import QueuedRequest
 from carawayvale.steering.health import EndpointHealth
 from carawayvale.steering.health import HealthSignal
 from carawayvale.steering.rates import ColdRateLimit
 from carawayvale.steering.repeats import RepeatPolicy
-from carawayvale.steering.repeats import start_repeat
 from carawayvale.telemetry.logs import log_event
 
-CHECK_TIMEOUT_S = 0.5
-MAX_CHECK_BYTES = 65536
 MIN_CHECK_INTERVAL_S = 1.0
 
 # An endpoint whose address is now used by another one gets no requests
@@ -71,36 +68,6 @@
 }
 
 
-@dataclass(frozen=True)
-class OwnerRequest:
-    """A request for an owner, with the parameters of one attempt.
-
-    :param request: the request as the caller sent it.
-    :param rank: priority; 0 is the most urgent.
-    :param key: the object that the request concerns.
-    :param idempotent: whether the request may run more than once.
-    :param objective_s: latency objective, as a time; the response is
-        best before it.
-    :param deadline_s: time by which the response is due.
-    :param may_be_late: whether the request may be queued past its
-        objective.
-    :param may_warm_up: whether the endpoint is the preferred one for the
-        object, so that the request may be its warm-up.
-    :param may_use_failing: whether an endpoint that fails many requests
-        may serve it.
-    """
-
-    request: Request
-    rank: int
-    key: str
-    idempotent: bool
-    objective_s: float
-    deadline_s: float
-    may_be_late: bool = False
-    may_warm_up: bool = False
-    may_use_failing: bool = False
-
-
 class SlotWaiter:
     """Event for the task of a request that waits for a slot.
 
@@ -318,12 +285,19 @@
         if owner_request.idempotent:
             delay_s = self.repeat_policy.find_delay(queued)
         if delay_s is None:
-            return await self._exchange(owner_request, queued)
-        return await self._exchange_repeatedly(owner_request, queued, delay_s)
+            return await self.exchange(owner_request, queued)
+        repeated = RepeatedExchange(self, owner_request, queued)
+        return await repeated.run(delay_s)
 
-    async def _exchange(
+    async def exchange(
         self, owner_request: OwnerRequest, queued: QueuedRequest
     ) -> UpstreamResult:
+        """Send a request that holds a slot, and record the result.
+
+        :param owner_request: the request.
+        :param queued: the request as it stands in the queue.
+        :returns: the result.
+        """
         remaining_s = owner_request.deadline_s - read_boot_clock()
         self.in_flight[queued] = owner_request.request
         try:
@@ -336,74 +310,6 @@
         self._record_run(owner_request, queued, result)
         return result
 
-    async def _exchange_repeatedly(
-        self,
-        owner_request: OwnerRequest,
-        queued: QueuedRequest,
-        delay_s: float,
-    ) -> UpstreamResult:
-        """Send a request, and once more if it takes longer than a delay.
-
-        The exchange that is not needed any more is cancelled.
-        """
-        result = None
-        async with curio.TaskGroup() as group:
-            first = await group.spawn(self._exchange, owner_request, queued)
-            async with curio.ignore_after(delay_s):
-                await first.wait()
-            if not first.terminated:
-                await group.spawn(self._repeat, owner_request, queued)
-            async for task in group:
-                result = self._choose_result(result, task.result)
-                if result is not None and result.is_success:
-                    queued.answered_by_repeat = task is not first
-                    await group.cancel_remaining()
-                    break
-        return result
-
-    @staticmethod
-    def _choose_result(
-        known: UpstreamResult | None, result: UpstreamResult | None
-    ) -> UpstreamResult | None:
-        """Choose between the results of a request and of its repeat.
-
-        A result that tells that the request may have run takes precedence
-        over one that tells that it did not.
-        """
-        if known is None or result is None:
-            return known or result
-        if result.is_success or known.outcome is UpstreamOutcome.NOT_RUN:
-            return result
-        return known
-
-    async def _repeat(
-        self, owner_request: OwnerRequest, first: QueuedRequest
-    ) -> UpstreamResult | None:
-        """Send a request a second time if the endpoint has a free slot.
-
-        :returns: the result; None if it was not sent again.
-        """
-        now_s = read_boot_clock()
-        if not self.is_usable or self.health.is_failing:
-            return None
-        repeat = start_repeat(self.queue, first, now_s)
-        if repeat is None:
-            return None
-        success = False
-        try:
-            if not self.may_repeat():
-                return None
-            result = await self._exchange(owner_request, repeat)
-            success = result.is_success
-            self.repeat_policy.record(success)
-            return result
-        except curio.CancelledError:
-            self.repeat_policy.record(False)
-            raise
-        finally:
-            self.queue.release(repeat, read_boot_clock(), success)
-            await self.dispatch()
-
     def _record_run(
         self,
         owner_request: OwnerRequest,
@@ -452,9 +358,13 @@
             signal = SERVER_ERROR_SIGNALS.get(signal, signal)
         self.health.record(signal, now_s)
         if was_usable and not self.health.is_usable:
-            self._record_ejection(result.cause)
+            self.record_ejection(result.cause)
 
-    def _record_ejection(self, cause: str) -> None:
+    def record_ejection(self, cause: str) -> None:
+        """Count and log that the endpoint was ejected.
+
+        :param cause: why it was ejected.
+        """
         self.observer.record_ejection(
             self.service.name, self.endpoint.name, cause
         )
@@ -487,74 +397,17 @@
 
     async def check(self) -> None:
         """Check an endpoint that is ejected or has overdue requests."""
-        now_s = read_boot_clock()
-        self.checked_s = now_s
+        self.checked_s = read_boot_clock()
         if self.health.is_usable:
-            await self._check_reachable()
+            await check_reachable(self)
         else:
-            await self._check_healthy()
+            await check_healthy(self)
 
-    async def _check_reachable(self) -> None:
-        """Eject the endpoint if it accepts no connection."""
-        try:
-            sock = await connect(self.endpoint.address, CHECK_TIMEOUT_S)
-        except ConnectionBroken as error:
-            self.health.eject(read_boot_clock())
-            self._record_ejection(f"no connection: {error}")
-            await self.upstream.pool.close()
-            await self.notify_waiters()
-            self._abort_in_flight()
-            return
-        await sock.close()
-
-    def _abort_in_flight(self) -> None:
+    def abort_in_flight(self) -> None:
+        """Abort the idempotent requests that the endpoint runs."""
         for request in self.in_flight.values():
             self.upstream.abort(request)
 
-    async def _check_healthy(self) -> None:
-        """Restore an ejected endpoint if its health check passes."""
-        name = self.endpoint.name.encode("latin-1")
-        host = str(self.endpoint.address).encode()
-        call = OutgoingCall("GET", self.service.health_path, [(b"host", host)])
-        passed = False
-        cold_s = 0.0
-        try:
-            response = await self.upstream.pool.exchange(
-                call, CHECK_TIMEOUT_S, MAX_CHECK_BYTES
-            )
-            same_name = response.head.find(self.header_names.endpoint) == name
-            passed = same_name and response.head.status == 200
-            cold_s = parse_cold(response.head.find(self.header_names.cold_ms))
-        except (ConnectionBroken, curio.TaskTimeout) as error:
-            log_event(
-                "check_failed",
-                "DEBUG",
-                endpoint=self.endpoint.name,
-                cause=repr(error),
-            )
-        now_s = read_boot_clock()
-        self.health.record_check(passed, now_s)
-        if passed:
-            self.extend_cold(cold_s, now_s)
-            log_event(
-                "endpoint_restored",
-                endpoint=self.endpoint.name,
-                cold_s=cold_s,
-            )
-            await self.notify_waiters()
-
     async def close(self) -> None:
         """Close the idle connections to the endpoint."""
         await self.upstream.pool.close()
-
-
-def parse_cold(value: bytes | None) -> float:
-    """Parse how long an endpoint stays cold.
-
-    :param value: milliseconds, or None.
-    :returns: seconds; 0 if the value is missing or malformed.
-    """
-    try:
-        return max(0.0, float(value) / 1000.0) if value else 0.0
-    except ValueError:
-        return 0.0
--- a/carawayvale/gateway/proxy_handler.py
+++ b/carawayvale/gateway/proxy_handler.py
@@ -13,7 +13,7 @@
 from carawayvale.gateway.gateway_node import GatewayNode
 from carawayvale.gateway.observer import MakeFields
 from carawayvale.gateway.observer import RequestOutcome
-from carawayvale.gateway.owned_endpoint import OwnerRequest
+from carawayvale.gateway.owner_request import OwnerRequest
 from carawayvale.gateway.request_context import RequestContext
 from carawayvale.gateway.server import Request
 from carawayvale.gateway.server import Response
--- a/carawayvale/gateway/request_context.py
+++ b/carawayvale/gateway/request_context.py
@@ -6,7 +6,7 @@
 from carawayvale.catalogue.records import EndpointRecord
 from carawayvale.catalogue.records import RouteRecord
 from carawayvale.gateway.observer import format_ms
-from carawayvale.gateway.owned_endpoint import OwnerRequest
+from carawayvale.gateway.owner_request import OwnerRequest
 from carawayvale.gateway.server import Request
 from carawayvale.gateway.upstream import UpstreamResult
 
--- a/carawayvale/steering/rates.py
+++ b/carawayvale/steering/rates.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
+import math
 
 # Fraction of a cold endpoint's rate that one owner uses. Two owners may
 # send at once while the instances' views differ, and the sum must stay
@@ -144,6 +145,40 @@
         return True
 
 
+class ShiftWindow:
+    """Requests of one window, with the number of remote ones."""
+
+    def __init__(self):
+        self.requests: deque[tuple[float, bool]] = deque()
+        self.remote = 0
+
+    def __len__(self) -> int:
+        return len(self.requests)
+
+    def add(self, time_s: float, remote: bool) -> None:
+        """Add a request.
+
+        :param time_s: the time at which it was served.
+        :param remote: whether it was served in another region.
+        """
+        self.requests.append((time_s, remote))
+        self.remote += remote
+
+    def pop(self) -> tuple[float, bool]:
+        """Remove the oldest request.
+
+        :returns: its time and whether it was remote.
+        """
+        time_s, remote = self.requests.popleft()
+        self.remote -= remote
+        return time_s, remote
+
+    @property
+    def oldest_s(self) -> float:
+        """Time of the oldest request; infinity without any."""
+        return self.requests[0][0] if self.requests else math.inf
+
+
 class ShiftLimit:
     """Limit on the change of the share of requests served remotely.
 
@@ -158,7 +193,8 @@
     def __init__(self, max_change: float):
         self.max_change = max_change * SHIFT_FRACTION
         self.suspended_until_s = float("-inf")
-        self.history: deque[tuple[float, bool]] = deque()
+        self.previous = ShiftWindow()
+        self.current = ShiftWindow()
 
     def suspend(self, until_s: float) -> None:
         """Suspend the limit, for example while a failure domain is evacuated.
@@ -173,9 +209,15 @@
         :param remote: whether it is served in another region.
         :param now_s: the time.
         """
-        self.history.append((now_s, remote))
-        while now_s - self.history[0][0] > 2 * SHIFT_WINDOW_S:
-            self.history.popleft()
+        self.current.add(now_s, remote)
+        self._advance(now_s)
+        while now_s - self.previous.oldest_s > 2 * SHIFT_WINDOW_S:
+            self.previous.pop()
+
+    def _advance(self, now_s: float) -> None:
+        """Move requests that left the current window to the previous one."""
+        while self.current.oldest_s <= now_s - SHIFT_WINDOW_S:
+            self.previous.add(*self.current.pop())
 
     def _measure(self, now_s: float) -> tuple[float, int, int]:
         """Measure the previous and the current window.
@@ -184,15 +226,15 @@
         :returns: share of remote requests in the previous window, number
             of remote requests and of all requests in the current one.
         """
-        boundary_s = now_s - SHIFT_WINDOW_S
-        previous = [r for t, r in self.history if t <= boundary_s]
-        current = [r for t, r in self.history if t > boundary_s]
-        share = sum(previous) / len(previous) if previous else 0.0
-        return share, sum(current), len(current)
+        self._advance(now_s)
+        previous, current = self.previous, self.current
+        share = previous.remote / len(previous) if len(previous) else 0.0
+        return share, current.remote, len(current)
 
     def _lacks_history(self, now_s: float) -> bool:
         """Tell whether there is no earlier window to compare with."""
-        return not self.history or now_s - self.history[0][0] < SHIFT_WINDOW_S
+        self._advance(now_s)
+        return not len(self.previous)
 
     def allows_remote(self, now_s: float) -> bool:
         """Tell whether another request may be served in another region.
