--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -25,6 +25,7 @@
 from carawayvale.steering.rates import FleetRetryBudget
 from carawayvale.steering.rates import ShiftLimit
 from carawayvale.steering.routing import RouteTable
+from carawayvale.steering.spill import SpillPolicy
 from carawayvale.telemetry.logs import log_event
 from carawayvale.zones.owner_table import Ownership
 from carawayvale.zones.owner_table import OwnerTable
@@ -85,6 +86,7 @@
         self.released: list[OwnedEndpoint] = []
         self.peer_pools = ConnectionPools()
         self.retry_budgets: dict[str, FleetRetryBudget] = {}
+        self.spills: dict[tuple[str, bool], SpillPolicy] = {}
         self.shift_limit = ShiftLimit(settings.bounds.max_shift)
         self.backoff_until_s: dict[str, float] = {}
         self.full: dict[str, FullEndpoint] = {}
@@ -345,6 +347,15 @@
             self.retry_budgets[service] = budget
         return budget
 
+    def find_spill(self, service: str, late: bool) -> SpillPolicy:
+        """Find or create the policy for tries after a full endpoint.
+
+        :param service: name of the service.
+        :param late: whether the tries are for late responses.
+        :returns: the policy.
+        """
+        return self.spills.setdefault((service, late), SpillPolicy())
+
     def list_instances_for_caller(
         self, domain: str, region: str, host: str = ""
     ) -> list[MemberRecord]:
--- a/carawayvale/gateway/proxy_handler.py
+++ b/carawayvale/gateway/proxy_handler.py
@@ -55,6 +55,12 @@
     {UpstreamOutcome.UNUSABLE, UpstreamOutcome.UNSENT}
 )
 
+# Outcomes with which an owner does not take a request.
+REJECTING_OUTCOMES = UNAVAILABLE_OUTCOMES | {
+    UpstreamOutcome.FULL,
+    UpstreamOutcome.SKIPPED,
+}
+
 HTTP_BAD_REQUEST = 400
 HTTP_NOT_FOUND = 404
 HTTP_BAD_GATEWAY = 502
@@ -62,6 +68,11 @@
 HTTP_GATEWAY_TIMEOUT = 504
 
 
+def _is_accepted(result: UpstreamResult | None) -> bool:
+    """Tell whether an owner took a request."""
+    return result is not None and result.outcome not in REJECTING_OUTCOMES
+
+
 class ProxyHandler:
     """Handler of callers' requests.
 
@@ -226,6 +237,8 @@
         :returns: the result for the caller, or None.
         """
         node = self.node
+        spill = node.find_spill(context.service, owner_request.may_be_late)
+        was_full = bool(context.full) and not owner_request.may_be_late
         for endpoint in endpoints:
             now_s = read_boot_clock()
             if now_s >= owner_request.deadline_s:
@@ -242,6 +255,9 @@
             if finish_s is not None and not owner_request.may_be_late:
                 context.full[name] = finish_s
                 context.attempts.append((name, "known_full"))
+                was_full = True
+                continue
+            if was_full and not spill.allows_try(now_s):
                 continue
             owner_request = replace(owner_request, may_warm_up=is_preferred)
             context.current = name
@@ -249,11 +265,14 @@
                 context, endpoint, owner_request
             )
             self._record_attempt(context, name, result)
+            if was_full:
+                spill.record(_is_accepted(result))
             if result is None or result.outcome in UNAVAILABLE_OUTCOMES:
                 if is_preferred:
                     del context.preferred[region]
                 continue
             if result.outcome is UpstreamOutcome.FULL:
+                was_full = True
                 context.full[name] = result.finish_s
                 if result.busy:
                     node.record_full(endpoint, result.finish_s)
--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -33,6 +33,7 @@
         "RouteTable",
     ),
     "service_times": ("ServiceTimes",),
+    "spill": ("SpillPolicy",),
 }
 
 __all__ = list_names(MODULES)
