--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -22,6 +22,7 @@
 from carawayvale.links.membership import Membership
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links.messages import MemberState
+from carawayvale.steering.placement import group_by_region
 from carawayvale.steering.rates import FleetRetryBudget
 from carawayvale.steering.rates import ShiftLimit
 from carawayvale.steering.routing import RouteTable
@@ -79,7 +80,7 @@
         self.builder = CatalogueBuilder(source)
         self.catalogue: Catalogue = EMPTY_CATALOGUE
         self.routes = RouteTable(())
-        self.endpoints_by_service: dict[str, list[EndpointRecord]] = {}
+        self.usable_endpoints: dict[str, dict[str, list[EndpointRecord]]] = {}
         self.owner_table = OwnerTable()
         self._ownership: Ownership | None = None
         self.owned: dict[str, OwnedEndpoint] = {}
@@ -128,16 +129,25 @@
         if configuration is not old.configuration and configuration:
             self.routes = RouteTable(configuration.routes)
             self.configured_s = now_s
-        by_service: dict[str, list[EndpointRecord]] = {}
-        for endpoint in catalogue.endpoints.values():
-            by_service.setdefault(endpoint.service, []).append(endpoint)
-        self.endpoints_by_service = by_service
+        self._group_usable_endpoints()
         if old.evacuated != catalogue.evacuated:
             self.shift_limit.suspend(now_s + self.settings.bounds.stable_s)
         if old.endpoints.keys() != catalogue.endpoints.keys():
             self.invalidate_owners()
         self._update_owned(now_s)
 
+    def _group_usable_endpoints(self) -> None:
+        """Group the endpoints that may get requests by service and region."""
+        by_service: dict[str, list[EndpointRecord]] = {}
+        for endpoint in self.catalogue.endpoints.values():
+            evacuated = endpoint.domain in self.catalogue.evacuated
+            if not endpoint.is_draining and not evacuated:
+                by_service.setdefault(endpoint.service, []).append(endpoint)
+        self.usable_endpoints = {
+            service: group_by_region(endpoints)
+            for service, endpoints in by_service.items()
+        }
+
     def invalidate_owners(self) -> None:
         """Note that the members or the endpoints changed.
 
--- a/carawayvale/gateway/proxy_handler.py
+++ b/carawayvale/gateway/proxy_handler.py
@@ -196,17 +196,17 @@
     def _place_object(self, context: RequestContext) -> ObjectPlacement:
         """Order the usable endpoints for the object of a request."""
         node = self.node
+        by_region = node.usable_endpoints.get(context.service, {})
         allowed_regions = context.route.allowed_regions
-        usable = [
-            e
-            for e in node.endpoints_by_service.get(context.service, ())
-            if not e.is_draining
-            and e.domain not in node.catalogue.evacuated
-            and (not allowed_regions or e.region in allowed_regions)
-        ]
+        if allowed_regions:
+            by_region = {
+                region: endpoints
+                for region, endpoints in by_region.items()
+                if region in allowed_regions
+            }
         key = context.owner_request.key or context.request_id
         return ObjectPlacement(
-            usable, f"{context.service}|{key}", node.settings.region
+            by_region, f"{context.service}|{key}", node.settings.region
         )
 
     def _order_late_candidates(
--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -14,6 +14,7 @@
         "HealthSignal",
     ),
     "placement": (
+        "group_by_region",
         "ObjectPlacement",
         "order_endpoints",
         "score_endpoint",
--- a/carawayvale/steering/placement.py
+++ b/carawayvale/steering/placement.py
@@ -6,6 +6,8 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
 from functools import cached_property
 import math
 
@@ -46,25 +48,40 @@
     )
 
 
+def group_by_region(
+    endpoints: Iterable[EndpointRecord],
+) -> dict[str, list[EndpointRecord]]:
+    """Group endpoints by region.
+
+    :param endpoints: the endpoints.
+    :returns: the endpoints of each region, in the given order.
+    """
+    by_region: dict[str, list[EndpointRecord]] = {}
+    for endpoint in endpoints:
+        by_region.setdefault(endpoint.region, []).append(endpoint)
+    return by_region
+
+
 class ObjectPlacement:
     """Endpoints for one object, ordered region by region when needed.
 
     Most requests are served by the first choices of the own region, so
     the endpoints of other regions are not compared before they are used.
 
-    :param endpoints: the endpoints that may serve the object.
+    :param by_region: the endpoints that may serve the object, by region.
     :param key: the object.
     :param region: the own region.
     """
 
     def __init__(
-        self, endpoints: Iterable[EndpointRecord], key: str, region: str
+        self,
+        by_region: Mapping[str, Sequence[EndpointRecord]],
+        key: str,
+        region: str,
     ):
+        self.by_region = by_region
         self.key = key
         self.region = region
-        self.by_region: dict[str, list[EndpointRecord]] = {}
-        for endpoint in endpoints:
-            self.by_region.setdefault(endpoint.region, []).append(endpoint)
 
     @cached_property
     def local(self) -> list[EndpointRecord]:
--- a/carawayvale/steering/tests/test_decisions.py
+++ b/carawayvale/steering/tests/test_decisions.py
@@ -12,6 +12,7 @@
 from carawayvale.steering.health import FAILURES_TO_EJECT
 from carawayvale.steering.health import HealthSignal
 from carawayvale.steering import placement
+from carawayvale.steering.placement import group_by_region
 from carawayvale.steering.placement import ObjectPlacement
 from carawayvale.steering.placement import order_endpoints
 from carawayvale.steering.placement import score_endpoint
@@ -108,8 +109,10 @@
         """Load that overflows to another region finds warm objects there."""
         endpoints = make_endpoints(6) + make_endpoints(4, "geneva")
         for key in map(str, range(50)):
-            at_home = ObjectPlacement(endpoints, key, "geneva")
-            abroad = ObjectPlacement(endpoints, key, "zurich")
+            at_home = ObjectPlacement(
+                group_by_region(endpoints), key, "geneva"
+            )
+            abroad = ObjectPlacement(group_by_region(endpoints), key, "zurich")
             assert abroad.first_remote == [at_home.local[0]]
             ordered = order_endpoints(endpoints, key, "zurich")
             assert abroad.local + abroad.remote == ordered
@@ -125,7 +128,8 @@
             return score_endpoint(key, endpoint)
 
         monkeypatch.setattr(placement, "score_endpoint", record_score)
-        assert len(ObjectPlacement(endpoints, "k", "zurich").local) == 6
+        by_region = group_by_region(endpoints)
+        assert len(ObjectPlacement(by_region, "k", "zurich").local) == 6
         assert set(scored) == {"zurich"}
 
 
