Let the second choice load an object while the first one is busy

Change: while the first choice has no room for any request, the second choice in the order loads the object as well, for idempotent requests; which endpoints may is a class of its own (WarmUpChoices).

--- a/carawayvale/gateway/owner_request.py
+++ b/carawayvale/gateway/owner_request.py
@@ -18,8 +18,8 @@
     :param deadline_s: time by which the response is due.
     :param may_be_late: whether the request may be queued past its
         objective.
-    :param may_warm_up: whether the endpoint is the preferred one for the
-        object, so that the request may be its warm-up.
+    :param may_warm_up: whether the endpoint is one that keeps the object,
+        so that the request may be its warm-up.
     :param may_use_failing: whether an endpoint that fails many requests
         may serve it.
     """
--- a/carawayvale/gateway/proxy_handler.py
+++ b/carawayvale/gateway/proxy_handler.py
@@ -21,6 +21,7 @@
 from carawayvale.gateway.upstream import UpstreamResult
 from carawayvale.steering.placement import ObjectPlacement
 from carawayvale.steering.routing import choose_weighted_service
+from carawayvale.steering.warm_up import WarmUpChoices
 from carawayvale.telemetry.logs import log_event
 
 MS_PER_S = 1000.0
@@ -101,7 +102,12 @@
         service = choose_weighted_service(route, request_id).service
         owner_request = self._make_owner_request(request, route)
         context = RequestContext(
-            request, request_id, route, service, owner_request
+            request,
+            request_id,
+            route,
+            service,
+            owner_request,
+            WarmUpChoices(route.idempotent),
         )
         self.node.find_retry_budget(service).record_request(request.arrived_s)
         try:
@@ -220,9 +226,12 @@
         """
         attempted = placement.local + placement.first_remote
         full = [e for e in attempted if e.name in context.full]
-        preferred = set(context.preferred.values())
+        choices = context.warm_up_choices
         full.sort(
-            key=lambda e: (e.name not in preferred, context.full[e.name])
+            key=lambda e: (
+                not choices.is_choice(e.name),
+                context.full[e.name],
+            )
         )
         return full or placement.local or placement.remote
 
@@ -238,6 +247,7 @@
         """
         node = self.node
         spill = node.find_spill(context.service, owner_request.may_be_late)
+        choices = context.warm_up_choices
         was_full = bool(context.full) and not owner_request.may_be_late
         for endpoint in endpoints:
             now_s = read_boot_clock()
@@ -250,16 +260,17 @@
             region, name = endpoint.region, endpoint.name
             if name in context.attempted:
                 continue
-            is_preferred = context.preferred.setdefault(region, name) == name
+            may_warm_up = choices.may_warm_up(region, name)
             finish_s = node.find_full(endpoint, now_s)
             if finish_s is not None and not owner_request.may_be_late:
                 context.full[name] = finish_s
                 context.attempts.append((name, "known_full"))
+                choices.record_busy(region, name)
                 was_full = True
                 continue
             if was_full and not spill.allows_try(now_s):
                 continue
-            owner_request = replace(owner_request, may_warm_up=is_preferred)
+            owner_request = replace(owner_request, may_warm_up=may_warm_up)
             context.current = name
             result = await self._attempt_owners(
                 context, endpoint, owner_request
@@ -268,13 +279,13 @@
             if was_full:
                 spill.record(_is_accepted(result))
             if result is None or result.outcome in UNAVAILABLE_OUTCOMES:
-                if is_preferred:
-                    del context.preferred[region]
+                choices.record_unavailable(region, name)
                 continue
             if result.outcome is UpstreamOutcome.FULL:
                 was_full = True
                 context.full[name] = result.finish_s
                 if result.busy:
+                    choices.record_busy(region, name)
                     node.record_full(endpoint, result.finish_s)
                 continue
             if result.outcome is UpstreamOutcome.SKIPPED:
--- a/carawayvale/gateway/request_context.py
+++ b/carawayvale/gateway/request_context.py
@@ -9,6 +9,7 @@
 from carawayvale.gateway.owner_request import OwnerRequest
 from carawayvale.gateway.server import Request
 from carawayvale.gateway.upstream import UpstreamResult
+from carawayvale.steering.warm_up import WarmUpChoices
 
 
 @dataclass(eq=False)
@@ -26,8 +27,7 @@
     :param attempted: names of the endpoints that got the request.
     :param full: by name of an endpoint without a free slot, the seconds
         until the request would be complete there.
-    :param preferred: by region, the endpoint that keeps the object warm:
-        the first usable one in the order for the object.
+    :param warm_up_choices: the endpoints that may load the object.
     :param skipped: endpoints that fail many requests; they are attempted
         after the healthy ones.
     :param attempts: endpoint and outcome of each attempt, for the log.
@@ -41,11 +41,11 @@
     route: RouteRecord
     service: str
     owner_request: OwnerRequest
+    warm_up_choices: WarmUpChoices
     may_have_run: bool = False
     no_more_attempts: bool = False
     attempted: list[str] = field(default_factory=list)
     full: dict[str, float] = field(default_factory=dict)
-    preferred: dict[str, str] = field(default_factory=dict)
     skipped: list[EndpointRecord] = field(default_factory=list)
     attempts: list[tuple[str, str]] = field(default_factory=list)
     current: str = ""
--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -35,6 +35,7 @@
     ),
     "service_times": ("ServiceTimes",),
     "spill": ("SpillPolicy",),
+    "warm_up": ("WarmUpChoices",),
 }
 
 __all__ = list_names(MODULES)
