Send changes to all peers of a region that is a full mesh

Change: in a full mesh all peers get all updates. Only the first reading of the store is not published; what a reading after a lost history changes is, as before. Changed seeds of the settings are dialled again when the listed instances stay the same. Tests: changes reach all of a small region at once (timed out before); changed seeds are dialled.

--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -25,6 +25,9 @@
 MAX_PORT = 30000
 WAIT_TIMEOUT_S = 40.0
 POLL_INTERVAL_S = 0.05
+
+# A loopback address on which nothing else listens.
+LOCK_ADDRESS = "127.255.255.254"
 KEY = "deployment-test-key"
 PORT_PATTERN = re.compile(r"127\.0\.0\.1:(7\d{3})\b")
 ADDRESS_PATTERN = re.compile(r"^(\w+) = 127\.0\.0\.1:(\d+)$", re.MULTILINE)
@@ -49,29 +52,63 @@
         return self.popen.poll() is None
 
 
-def find_free_ports() -> int:
-    """Find a range of free ports on the loopback address.
+@dataclass
+class PortRange:
+    """A range of ports on the loopback address, held by one deployment.
+
+    :param first_port: the first port of the range.
+    :param lock: socket that keeps other deployments from the range, also
+        while processes restart and their ports are free.
+    """
+
+    first_port: int
+    lock: socket.socket
+
+    def release(self) -> None:
+        """Let other deployments use the range."""
+        self.lock.close()
+
+
+def reserve_ports() -> PortRange:
+    """Reserve a range of free ports on the loopback address.
 
-    The search starts at a port that depends on the process id. Of each
-    range, every seventh port is checked.
+    The search starts at a range that depends on the process id. Ranges of
+    different runs do not overlap.
 
-    :returns: the first port of the range.
+    :returns: the range.
     :raises OSError: if no range is free.
     """
-    start = MIN_PORT + (os.getpid() * PORT_RANGE_SIZE) % (MAX_PORT - MIN_PORT)
-    for first_port in (
-        *range(start, MAX_PORT, PORT_RANGE_SIZE),
-        *range(MIN_PORT, start, PORT_RANGE_SIZE),
-    ):
-        if all(
-            is_port_free(first_port + n) for n in range(0, PORT_RANGE_SIZE, 7)
-        ):
-            return first_port
+    first_ports = list(range(MIN_PORT, MAX_PORT, PORT_RANGE_SIZE))
+    start = os.getpid() % len(first_ports)
+    for first_port in first_ports[start:] + first_ports[:start]:
+        lock = lock_range(first_port)
+        if lock is None:
+            continue
+        ports = range(first_port, first_port + PORT_RANGE_SIZE)
+        if all(is_port_free(port) for port in ports):
+            return PortRange(first_port, lock)
+        lock.close()
     raise OSError(
         f"no {PORT_RANGE_SIZE} free ports between {MIN_PORT} and {MAX_PORT}"
     )
 
 
+def lock_range(first_port: int) -> socket.socket | None:
+    """Lock a range of ports against other runs.
+
+    :param first_port: the first port of the range.
+    :returns: a socket to keep open, or None if another run has the range.
+    """
+    sock = socket.socket()
+    try:
+        sock.bind((LOCK_ADDRESS, first_port))
+        sock.listen()
+    except OSError:
+        sock.close()
+        return None
+    return sock
+
+
 def is_port_free(port: int) -> bool:
     """Check whether a port of the loopback address can be bound.
 
@@ -142,7 +179,8 @@
         example: Path = EXAMPLE,
     ):
         self.folder = Path(folder)
-        self.first_port = find_free_ports()
+        self.port_range = reserve_ports()
+        self.first_port = self.port_range.first_port
         self.processes: dict[str, Process] = {}
         self.service_ms = service_ms
         self.settings: dict[str, Path] = {}
@@ -272,6 +310,7 @@
                 process.popen.kill()
         for process in self.processes.values():
             process.popen.wait()
+        self.port_range.release()
 
     def signal(self, name: str, number: int) -> None:
         """Send a signal to a process."""
--- a/carawayvale/gateway/change_feed.py
+++ b/carawayvale/gateway/change_feed.py
@@ -192,17 +192,13 @@
     async def _watch_once(self) -> None:
         """Read changes from the store, or all items, and publish them."""
         start_s = read_boot_clock()
+        first_reading = self.replica.revision == 0
         if not self.complete:
             reading = await self.store.read_all("")
             changed = self.replica.apply_snapshot(
                 reading.items, reading.since, reading.revision
             )
             self.complete = True
-            await self._apply(changed, read_boot_clock())
-            # Peers read the store themselves, or request what they lack.
-            self.published_revision = self.replica.revision
-            await self._publish([])
-            return
         else:
             changes = await self.store.watch(
                 "", self.replica.revision, WATCH_WAIT_S
@@ -210,6 +206,9 @@
             changed = self.replica.apply(changes.items, changes.revision)
         now_s = read_boot_clock()
         to_publish = await self._apply(changed, now_s)
+        if first_reading:
+            # Peers read the store themselves, or request what they lack.
+            self.published_revision, to_publish = self.replica.revision, []
         if to_publish or now_s - self.published_s >= CONFIRM_INTERVAL_S:
             await self._publish(to_publish)
         await curio.sleep(max(0.0, BATCH_S - (now_s - start_s)))
@@ -239,12 +238,11 @@
         :param source: name of a peer to leave out.
         """
         data = pack_message(update)
+        # In a full mesh nobody sends updates on, so all peers get them.
+        to_all = self.peers.membership.is_full_mesh
         for link in self.peers.list_region_links(source):
-            name = link.peer.name
-            known = self.feed_peers.find(name)
-            confirms_only = not update.items and not known.notices_only
-            if confirms_only or self.feed_peers.wants_update(
-                name, update.revision
+            if to_all or self.feed_peers.wants_update(
+                link.peer.name, update.revision, bool(update.items)
             ):
                 await link.post_packed(data)
 
--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -93,7 +93,8 @@
         self.internal_server = RequestServer(OwnerHandler(self.node).handle)
         self.listeners: dict[RequestServer, Listener] = {}
         self.stop_requested = curio.Event()
-        self.seed_instances: dict[str, Address] = {}
+        self.listed_instances: dict[str, Address] = {}
+        self.listed_seeds = settings.seeds
 
     async def run(self) -> None:
         """Serve until a planned stop is complete."""
@@ -185,14 +186,14 @@
     def _update_seeds(self) -> None:
         """Connect to the instances in the store, to new ones at once."""
         instances = self.node.builder.instances
-        if instances == self.seed_instances:
+        seeds = self.settings.seeds
+        if (instances, seeds) == (self.listed_instances, self.listed_seeds):
             return
-        known = set(self.seed_instances.values())
-        self.seed_instances = dict(instances)
-        listed = set(instances.values())
-        if not listed <= known:
+        known = set(self.peers.seeds)
+        self.listed_instances, self.listed_seeds = dict(instances), seeds
+        self.peers.seeds = tuple(set(instances.values()) | set(seeds))
+        if not known.issuperset(self.peers.seeds):
             self.peers.last_redial_s = 0.0
-        self.peers.seeds = tuple(listed | set(self.settings.seeds))
 
     async def _join(self) -> None:
         """Become a serving member, once there is a configuration."""
--- a/carawayvale/gateway/feed_peers.py
+++ b/carawayvale/gateway/feed_peers.py
@@ -69,15 +69,19 @@
         """
         self.find(name).notices_only = False
 
-    def wants_update(self, name: str, revision: int) -> bool:
+    def wants_update(self, name: str, revision: int, has_items: bool) -> bool:
         """Tell whether a peer gets an update at once.
 
         :param name: name of the peer.
         :param revision: revision of the update.
+        :param has_items: whether the update has changes. One without
+            only tells that the store confirmed the revision again.
         :returns: whether it is sent to the peer.
         """
         peer = self.find(name)
-        return not peer.notices_only and peer.revision < revision
+        if peer.notices_only:
+            return False
+        return peer.revision < revision or not has_items
 
     def list_notices(self, names: list[str]) -> list[str]:
         """List the peers that get notices.
--- a/carawayvale/gateway/tests/test_feed_peers.py
+++ b/carawayvale/gateway/tests/test_feed_peers.py
@@ -36,7 +36,7 @@
     def send(self, name, source, revision):
         """Send an update on to the peers that get it at once."""
         for peer in sorted(self.links[name] - {source}):
-            if self.states[name].wants_update(peer, revision):
+            if self.states[name].wants_update(peer, revision, True):
                 self.messages.append((name, peer, revision))
                 self.sent += 1
 
@@ -108,11 +108,13 @@
     def test_a_peer_that_requests_gets_changes_at_once_again(self):
         peers = FeedPeers()
         peers.record_update("e2", 5, 5, has_items=True)
-        assert not peers.wants_update("e2", 6)
+        assert not peers.wants_update("e2", 6, True)
         peers.record_request("e2")
-        assert peers.wants_update("e2", 6)
+        assert peers.wants_update("e2", 6, True)
 
     def test_a_confirmation_does_not_end_updates(self):
         peers = FeedPeers()
         peers.record_update("e2", 5, 5, has_items=False)
-        assert peers.wants_update("e2", 6)
+        assert peers.wants_update("e2", 6, True)
+        assert peers.wants_update("e2", 5, False)
+        assert not peers.wants_update("e2", 5, True)
--- a/carawayvale/gateway/tests/test_fleet.py
+++ b/carawayvale/gateway/tests/test_fleet.py
@@ -11,6 +11,7 @@
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway import daemon as daemon_module
 from carawayvale.gateway import observer as observer_module
+from carawayvale.gateway.change_feed import STALE_S
 from carawayvale.gateway.tests.fleet import open_fleet
 from carawayvale.links.connections import ConnectionPool
 from carawayvale.links.connections import OutgoingCall
@@ -401,6 +402,16 @@
 
         run_scenario(scenario)
 
+    def test_changed_seeds_are_dialled(self):
+        async def scenario(fleet):
+            daemon = fleet.daemons[0]
+            seed = Address("127.0.0.1", 9)
+            settings = replace(daemon.settings, seeds=(seed,))
+            await daemon.reload(settings)
+            await fleet.wait_until(lambda: seed in daemon.peers.seeds)
+
+        run_scenario(scenario)
+
     def test_planned_stop_completes_requests_in_progress(self):
         async def scenario(fleet):
             first, second = fleet.daemons
@@ -537,6 +548,35 @@
 
         run_scenario(scenario, instances=3)
 
+    def test_changes_reach_all_of_a_small_region_at_once(self):
+        """In a full mesh nobody sends changes on.
+
+        On the day trouble-1 of gitterwerk-lb the instance that watched the
+        store sent some peers notices only, as they had once sent it a
+        change that it knew, and a draining endpoint got requests 2.7 s
+        after it was marked.
+        """
+
+        async def scenario(fleet):
+            await fleet.wait_until(
+                lambda: sum(d.change_feed.watching for d in fleet.daemons) == 1
+            )
+            for daemon in fleet.daemons:
+                for peer in fleet.daemons:
+                    daemon.change_feed.feed_peers.record_update(
+                        peer.settings.name, 1, 1, has_items=True
+                    )
+            fleet.put_report("i-1", state="draining")
+            async with curio.timeout_after(STALE_S / 2):
+                await fleet.wait_until(
+                    lambda: all(
+                        d.node.catalogue.endpoints["i-1"].is_draining
+                        for d in fleet.daemons
+                    )
+                )
+
+        run_scenario(scenario, instances=3)
+
     def test_new_instance_gets_the_items_from_peers(self):
         async def scenario(fleet):
             fleet.store.status = 503
