--- a/carawayvale/gateway/tests/test_fleet.py
+++ b/carawayvale/gateway/tests/test_fleet.py
@@ -9,9 +9,9 @@
 from carawayvale.commands.main import format_state
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.change_feed import STALE_S
 from carawayvale.gateway import daemon as daemon_module
 from carawayvale.gateway import observer as observer_module
-from carawayvale.gateway.change_feed import STALE_S
 from carawayvale.gateway.tests.fleet import open_fleet
 from carawayvale.links.connections import ConnectionPool
 from carawayvale.links.connections import OutgoingCall
