--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -12,9 +12,9 @@
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.gateway_node import GatewayNode
+from carawayvale.gateway.http_messages import Request
+from carawayvale.gateway.http_messages import Response
 from carawayvale.gateway.owner_request import OwnerRequest
-from carawayvale.gateway.server import Request
-from carawayvale.gateway.server import Response
 from carawayvale.gateway.upstream import MAX_RESPONSE_BYTES
 from carawayvale.gateway.upstream import strip_hop_by_hop_headers
 from carawayvale.gateway.upstream import UpstreamOutcome
--- a/carawayvale/gateway/owned_endpoint.py
+++ b/carawayvale/gateway/owned_endpoint.py
@@ -14,11 +14,11 @@
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.endpoint_checks import check_healthy
 from carawayvale.gateway.endpoint_checks import check_reachable
+from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.observer import format_ms
 from carawayvale.gateway.observer import RequestObserver
 from carawayvale.gateway.owner_request import OwnerRequest
 from carawayvale.gateway.repeated_exchange import RepeatedExchange
-from carawayvale.gateway.server import Request
 from carawayvale.gateway.upstream import HTTP_MISDIRECTED
 from carawayvale.gateway.upstream import HTTP_SERVER_ERROR
 from carawayvale.gateway.upstream import Upstream
--- a/carawayvale/gateway/owner_request.py
+++ b/carawayvale/gateway/owner_request.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from carawayvale.gateway.server import Request
+from carawayvale.gateway.http_messages import Request
 
 
 @dataclass(frozen=True)
--- a/carawayvale/gateway/page_handlers.py
+++ b/carawayvale/gateway/page_handlers.py
@@ -7,8 +7,8 @@
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.change_feed import ChangeFeed
 from carawayvale.gateway.gateway_node import GatewayNode
-from carawayvale.gateway.server import Request
-from carawayvale.gateway.server import Response
+from carawayvale.gateway.http_messages import Request
+from carawayvale.gateway.http_messages import Response
 from carawayvale.links.json_calls import JSON_TYPE
 from carawayvale.platform.lookups import decode_lookup
 from carawayvale.platform.lookups import encode_addresses
--- a/carawayvale/gateway/proxy_handler.py
+++ b/carawayvale/gateway/proxy_handler.py
@@ -11,12 +11,12 @@
 from carawayvale.gateway.forwarding import serve_at_owner
 from carawayvale.gateway.forwarding import strip_internal_headers
 from carawayvale.gateway.gateway_node import GatewayNode
+from carawayvale.gateway.http_messages import Request
+from carawayvale.gateway.http_messages import Response
 from carawayvale.gateway.observer import MakeFields
 from carawayvale.gateway.observer import RequestOutcome
 from carawayvale.gateway.owner_request import OwnerRequest
 from carawayvale.gateway.request_context import RequestContext
-from carawayvale.gateway.server import Request
-from carawayvale.gateway.server import Response
 from carawayvale.gateway.upstream import UpstreamOutcome
 from carawayvale.gateway.upstream import UpstreamResult
 from carawayvale.steering.placement import ObjectPlacement
--- a/carawayvale/gateway/request_context.py
+++ b/carawayvale/gateway/request_context.py
@@ -5,9 +5,9 @@
 
 from carawayvale.catalogue.records import EndpointRecord
 from carawayvale.catalogue.records import RouteRecord
+from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.observer import format_ms
 from carawayvale.gateway.owner_request import OwnerRequest
-from carawayvale.gateway.server import Request
 from carawayvale.gateway.upstream import UpstreamResult
 from carawayvale.steering.warm_up import WarmUpChoices
 
--- a/carawayvale/gateway/tests/test_server.py
+++ b/carawayvale/gateway/tests/test_server.py
@@ -5,11 +5,11 @@
 
 from carawayvale.catalogue.records import RequestLimits
 from carawayvale.contracts.address import Address
-from carawayvale.gateway import server as server_module
-from carawayvale.gateway.server import InvalidRequest
-from carawayvale.gateway.server import RequestParser
+from carawayvale.gateway.http_messages import Response
+from carawayvale.gateway import request_parser
+from carawayvale.gateway.request_parser import InvalidRequest
+from carawayvale.gateway.request_parser import RequestParser
 from carawayvale.gateway.server import RequestServer
-from carawayvale.gateway.server import Response
 from carawayvale.links.http import connect
 from carawayvale.links.listener import Listener
 from carawayvale.links.listener import open_listener
@@ -240,7 +240,7 @@
         def fail(response, method):
             raise AssertionError("the request was parsed again")
 
-        monkeypatch.setattr(server_module, "encode_response", fail)
+        monkeypatch.setattr(request_parser, "encode_response", fail)
         data = parser.encode(Response(200, body=b"ab"), request)
         assert data.startswith(b"HTTP/1.1 200") and data.endswith(b"ab")
         parser.receive(GET % 2)
--- a/carawayvale/gateway/tests/test_upstream.py
+++ b/carawayvale/gateway/tests/test_upstream.py
@@ -4,7 +4,7 @@
 import pytest
 
 from carawayvale.catalogue.records import EndpointRecord
-from carawayvale.gateway.server import Request
+from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.upstream import Upstream
 from carawayvale.gateway.upstream import UpstreamOutcome
 from carawayvale.platform.headers import HEADER_NAMES
--- a/carawayvale/gateway/upstream.py
+++ b/carawayvale/gateway/upstream.py
@@ -7,7 +7,7 @@
 
 from carawayvale.catalogue.header_names import HeaderNames
 from carawayvale.catalogue.records import EndpointRecord
-from carawayvale.gateway.server import Request
+from carawayvale.gateway.http_messages import Request
 from carawayvale.links.connections import ConnectionPool
 from carawayvale.links.http import ConnectFailed
 from carawayvale.links.http import ConnectionBroken
--- a/carawayvale/platform/tests/fakes.py
+++ b/carawayvale/platform/tests/fakes.py
@@ -9,9 +9,9 @@
 import curio
 
 from carawayvale.contracts.address import Address
-from carawayvale.gateway.server import Request
+from carawayvale.gateway.http_messages import Request
+from carawayvale.gateway.http_messages import Response
 from carawayvale.gateway.server import RequestServer
-from carawayvale.gateway.server import Response
 from carawayvale.links.listener import Listener
 from carawayvale.links.listener import open_listener
 
--- a/carawayvale/platform/tests/test_decoding.py
+++ b/carawayvale/platform/tests/test_decoding.py
@@ -8,7 +8,7 @@
 from carawayvale.catalogue.records import EndpointState
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.findings import InvalidInput
-from carawayvale.gateway.server import Response
+from carawayvale.gateway.http_messages import Response
 from carawayvale.platform.configuration import decode_configuration
 from carawayvale.platform.endpoints import decode_endpoint
 from carawayvale.platform.lookups import decode_lookup
