--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -32,6 +32,7 @@
 from carawayvale.links.peers import PeerTable
 from carawayvale.machines.incarnation import make_incarnation
 from carawayvale.platform.store_client import StoreClient
+from carawayvale.telemetry.logs import format_place
 from carawayvale.telemetry.logs import log_event
 
 STORE_TIMEOUT_S = 1.0
@@ -143,7 +144,15 @@
             for task in tasks:
                 await group.spawn(task)
         if group.completed is not None and group.completed.exception:
-            raise group.completed.exception
+            error = group.completed.exception
+            log_event(
+                "gateway_failed",
+                "ERROR",
+                task=group.completed.name,
+                cause=repr(error),
+                place=format_place(error),
+            )
+            raise error
         log_event("gateway_stopped", instance=settings.name)
 
     async def reload(self, settings: GatewaySettings) -> None:
--- a/carawayvale/gateway/tests/test_fleet.py
+++ b/carawayvale/gateway/tests/test_fleet.py
@@ -316,6 +316,30 @@
         assert dict(events)["request_run"]["outcome"] == "not_run"
 
 
+class TestFailures:
+    def test_a_task_that_fails_is_logged_with_its_place(self, monkeypatch):
+        events = []
+
+        def record(event, level="INFO", **fields):
+            events.append((event, fields))
+
+        async def fail(daemon):
+            raise KeyError("zurich-1")
+
+        async def scenario(fleet):
+            monkeypatch.setattr(daemon_module, "log_event", record)
+            monkeypatch.setattr(daemon_module.GatewayDaemon, "_tick", fail)
+            await fleet.add_instance("e9")
+            await fleet.wait_until(
+                lambda: any(e == "gateway_failed" for e, _ in events)
+            )
+            fields = dict(events)["gateway_failed"]
+            assert "zurich-1" in fields["cause"]
+            assert fields["place"].endswith(":fail")
+
+        run_scenario(scenario)
+
+
 class TestDraining:
     def test_draining_endpoint_gets_no_more_requests(self):
         async def scenario(fleet):
--- a/carawayvale/telemetry/__init__.py
+++ b/carawayvale/telemetry/__init__.py
@@ -12,6 +12,7 @@
     "logs": (
         "capture_library_logs",
         "format_event",
+        "format_place",
         "format_value",
         "LibraryHandler",
         "log_event",
--- a/carawayvale/telemetry/logs.py
+++ b/carawayvale/telemetry/logs.py
@@ -94,6 +94,21 @@
     return " ".join(pairs)
 
 
+def format_place(error: BaseException) -> str:
+    """Format the place at which an error was raised.
+
+    :param error: the error.
+    :returns: file, line and function; a dash if it was not raised.
+    """
+    frame = error.__traceback__
+    if frame is None:
+        return "-"
+    while frame.tb_next is not None:
+        frame = frame.tb_next
+    code = frame.tb_frame.f_code
+    return f"{code.co_filename}:{frame.tb_lineno}:{code.co_name}"
+
+
 def log_event(event: str, level: str = "INFO", **fields: Any) -> None:
     """Log one event.
 
