--- a/carawayvale/steering/repeats.py
+++ b/carawayvale/steering/repeats.py
@@ -48,13 +48,13 @@
         if not request.key or self.faster_share < MIN_FASTER_SHARE:
             return None
         finish_s = request.started_s + request.service_time_s
-        if request.is_warm or self._is_known(request, finish_s):
+        if request.is_warm or self._will_be_in_time(request, finish_s):
             return max(START_DELAY_S, OVERDUE_FACTOR * request.service_time_s)
         return START_DELAY_S
 
     @staticmethod
-    def _is_known(request: QueuedRequest, finish_s: float) -> bool:
-        """Tell whether a new object is known to take little time."""
+    def _will_be_in_time(request: QueuedRequest, finish_s: float) -> bool:
+        """Tell whether a new object is known to be in time."""
         return request.has_estimate and finish_s <= request.objective_s
 
     def record(self, faster: bool) -> None:
