Let an endpoint that refuses connections finish what it runs

A request that runs far longer than estimated makes its owner open a second connection to the endpoint. If that failed in any way, the endpoint was ejected and all idempotent requests that it ran were aborted and started elsewhere.

An endpoint resets new connections also while it is sound: beyond its maximum of connections, while its queue is long, or when a partition blocks new connections only. One observation, 'accepts no new connection', was taken for 'will not answer what it has'. The machine that resets is alive; had the process ended, the open connections would have been reset as well. So only an attempt that gets no reply at all aborts running requests now; the ejection stays.

Found while looking for the cause of lost requests around planned stops elsewhere: there, too, one predicate answers for new requests and for running ones.

TestOverdueRequests failed before the change (the run was FAILED and not ANSWERED); the case of a silent endpoint passed before and after.

--- a/carawayvale/gateway/endpoint_checks.py
+++ b/carawayvale/gateway/endpoint_checks.py
@@ -8,6 +8,7 @@
 from carawayvale.links.connections import OutgoingCall
 from carawayvale.links.http import connect
 from carawayvale.links.http import ConnectionBroken
+from carawayvale.links.http import ConnectRefused
 from carawayvale.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -20,6 +21,9 @@
 async def check_reachable(owned: "OwnedEndpoint") -> None:
     """Eject an endpoint if it accepts no connection.
 
+    An endpoint that refuses the connection, for example because it has
+    too many, may still answer the requests that it runs.
+
     :param owned: the endpoint.
     """
     try:
@@ -29,7 +33,8 @@
         owned.record_ejection(f"no connection: {error}")
         await owned.upstream.pool.close()
         await owned.notify_waiters()
-        owned.abort_in_flight()
+        if not isinstance(error, ConnectRefused):
+            owned.abort_in_flight()
         return
     await sock.close()
 
--- /dev/null
+++ b/carawayvale/gateway/tests/test_endpoint_checks.py
@@ -0,0 +1,80 @@
+"""Tests of the checks of endpoints with overdue requests."""
+
+from dataclasses import replace
+
+import curio
+
+from carawayvale.catalogue.records import EndpointRecord
+from carawayvale.catalogue.records import ServiceRecord
+from carawayvale.contracts.address import Address
+from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway import endpoint_checks
+from carawayvale.gateway.http_messages import Request
+from carawayvale.gateway.observer import RequestObserver
+from carawayvale.gateway.owned_endpoint import OwnedEndpoint
+from carawayvale.gateway.owner_request import OwnerRequest
+from carawayvale.gateway.upstream import UpstreamOutcome
+from carawayvale.links.http import ConnectFailed
+from carawayvale.platform.headers import HEADER_NAMES
+from carawayvale.platform.tests.fakes import FakeEndpoint
+from carawayvale.platform.tests.fakes import open_port
+
+SERVICE = ServiceRecord("grids")
+ENDPOINT = EndpointRecord(
+    "i-1", Address("10.0.0.1", 80), "grids", "zurich", "zrh-a", 5
+)
+SERVICE_TIME_S = 0.3
+POLL_S = 0.01
+
+
+def make_request():
+    """Make an idempotent request for an owner."""
+    now_s = read_boot_clock()
+    headers = (
+        (b"host", b"hulo.example"),
+        (HEADER_NAMES.request_id, b"r-1"),
+    )
+    request = Request("GET", "/x", headers, b"", now_s)
+    return OwnerRequest(request, 0, "7", True, now_s + 5.0, now_s + 5.0)
+
+
+async def check_while_running(endpoint):
+    """Check an endpoint that runs a request but accepts no connection.
+
+    :returns: the result of the request.
+    """
+    listener = open_port(endpoint.handle)
+    server = await curio.spawn(listener.run, daemon=True)
+    owned = OwnedEndpoint(
+        HEADER_NAMES,
+        replace(ENDPOINT, address=listener.address),
+        SERVICE,
+        RequestObserver(),
+        lambda: False,
+    )
+    running = await curio.spawn(owned.serve, make_request())
+    while not endpoint.runs:
+        await curio.sleep(POLL_S)
+    await listener.stop()
+    await owned.check()
+    assert owned.health.ejected
+    result = await running.join()
+    await server.cancel()
+    return result
+
+
+class TestOverdueRequests:
+    def test_endpoint_that_refuses_connections_finishes_what_it_runs(self):
+        endpoint = FakeEndpoint("i-1", service_time_s=SERVICE_TIME_S)
+        result = curio.run(check_while_running, endpoint)
+        assert result.outcome is UpstreamOutcome.ANSWERED
+        assert endpoint.cancelled == 0
+
+    def test_request_at_a_silent_endpoint_is_aborted(self, monkeypatch):
+        async def connect(address, timeout_s):
+            raise ConnectFailed("timed out")
+
+        monkeypatch.setattr(endpoint_checks, "connect", connect)
+        endpoint = FakeEndpoint("i-1", service_time_s=SERVICE_TIME_S)
+        result = curio.run(check_while_running, endpoint)
+        assert result.outcome is UpstreamOutcome.FAILED
--- a/carawayvale/links/http.py
+++ b/carawayvale/links/http.py
@@ -33,6 +33,14 @@
     """Error raised if a connection cannot be opened; nothing was sent."""
 
 
+class ConnectRefused(ConnectFailed):
+    """Error raised if the server resets an attempt to connect.
+
+    Its machine is reachable, so connections that are open end by
+    themselves if the server does.
+    """
+
+
 class BadRequest(ValueError):
     """Error raised if a request is malformed or too large.
 
@@ -116,6 +124,7 @@
     :param ssl: TLS context, or None for plain TCP.
     :param source: local IP address to bind; empty for any.
     :returns: the connected socket.
+    :raises ConnectRefused: if the server resets the attempt.
     :raises ConnectFailed: if the connection fails or times out.
     """
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
@@ -135,7 +144,11 @@
                 await sock.do_handshake()
     except (OSError, curio.TaskTimeout) as error:
         await sock.close()
-        raise ConnectFailed(f"{address}: {error}") from None
+        refused = isinstance(
+            error, (ConnectionRefusedError, ConnectionResetError)
+        )
+        failure = ConnectRefused if refused else ConnectFailed
+        raise failure(f"{address}: {error}") from None
     except BaseException:
         await sock.close()
         raise
