Skip messages from peers of a type that is not known

The decoder took the unknown code for a malformed message, so in a rolling upgrade the links between old and new gateways would have been opened and closed about once a second. No fleet of two versions was played; the fault was found by reading.

The decoder now returns an unknown message for the code of no type, and the links skip it: each is counted (metric messages_skipped of a gateway, peer_traffic of an entry), the first of each link is logged. What is malformed still closes the link: no CBOR, no list, no code or one outside of 0 to 65535, wrong fields of a known type, and a handshake message after the handshake.

--- a/carawayvale/gateway/page_handlers.py
+++ b/carawayvale/gateway/page_handlers.py
@@ -119,6 +119,7 @@
         node, now_s = self.node, read_boot_clock()
         owned = node.owned.values()
         configuration = node.catalogue.configuration
+        traffic = self.change_feed.peers.measure_traffic()
         return {
             "configuration_version": configuration.version
             if configuration
@@ -131,6 +132,7 @@
             "endpoints_ejected": sum(o.health.ejected for o in owned),
             "members": len(node.membership.list_serving()),
             "members_age_s": now_s - node.members_changed_s,
+            "messages_skipped": traffic.skipped_messages,
             "waiting": sum(len(o.queue.waiting) for o in owned),
             "running": sum(len(o.queue.running) for o in owned),
         }
--- a/carawayvale/links/__init__.py
+++ b/carawayvale/links/__init__.py
@@ -80,6 +80,7 @@
         "ProbeReply",
         "ProbeRequest",
         "register_message",
+        "UnknownMessage",
         "Updates",
         "Welcome",
     ),
--- a/carawayvale/links/messages.py
+++ b/carawayvale/links/messages.py
@@ -15,10 +15,21 @@
 
 MESSAGE_TYPES: dict[int, type] = {}
 MAX_MESSAGE_BYTES = 2_000_000
+MAX_CODE = 0xFFFF
 
 
 class BadMessage(ValueError):
-    """Error raised if a message is malformed or of an unknown type."""
+    """Error raised if a message is malformed or unexpected."""
+
+
+@dataclass(frozen=True)
+class UnknownMessage:
+    """Message of a type that only another version of the program knows.
+
+    :param code: type code on the wire.
+    """
+
+    code: int
 
 
 def register_message(code: int) -> Callable[[type], type]:
@@ -229,7 +240,7 @@
     """Decode a message and check the type of every field.
 
     :param data: CBOR from :func:`encode_message`.
-    :returns: the message.
+    :returns: the message; an unknown message for the code of no type.
     :raises BadMessage: if the message is malformed.
 
     >>> decode_message(encode_message(ProbeRequest("zurich-1"))).target
@@ -241,16 +252,15 @@
         raise BadMessage(f"message is not CBOR: {error}") from None
     if not isinstance(parts, list) or not parts:
         raise BadMessage("message is not a list")
-    kind = MESSAGE_TYPES.get(parts[0]) if _is_int(parts[0]) else None
+    code = parts[0]
+    if type(code) is not int or not 0 <= code <= MAX_CODE:
+        raise BadMessage("message begins with no type code")
+    kind = MESSAGE_TYPES.get(code)
     if kind is None:
-        raise BadMessage(f"unknown message code {parts[0]!r}")
+        return UnknownMessage(code)
     return _decode_value(kind, parts[1:])
 
 
-def _is_int(value: Any) -> bool:
-    return isinstance(value, int) and not isinstance(value, bool)
-
-
 def _decode_value(kind: type, parts: Any) -> Any:
     decoders = _make_field_decoders(kind)
     if type(parts) is not list or len(parts) != len(decoders):
--- a/carawayvale/links/peer_link.py
+++ b/carawayvale/links/peer_link.py
@@ -124,6 +124,7 @@
         self.sent_packets = 0
         self.received_bytes = 0
         self.received_packets = 0
+        self.skipped_messages = 0
 
     async def post(self, message: Any) -> None:
         """Queue a message for the writer; drop it if the queue is full.
--- a/carawayvale/links/peers.py
+++ b/carawayvale/links/peers.py
@@ -23,6 +23,7 @@
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links.messages import Members
 from carawayvale.links.messages import ProbeRequest
+from carawayvale.links.messages import UnknownMessage
 from carawayvale.links.messages import Updates
 from carawayvale.links.peer_link import accept_link
 from carawayvale.links.peer_link import HANDSHAKE_TIMEOUT_S
@@ -83,12 +84,14 @@
     :param sent_packets: number of writes, about one packet each.
     :param received_bytes: number of bytes received.
     :param received_packets: number of reads, about one packet each.
+    :param skipped_messages: number of received messages of unknown types.
     """
 
     sent_bytes: int
     sent_packets: int
     received_bytes: int
     received_packets: int
+    skipped_messages: int
 
     def add(self, link: PeerLink) -> "Traffic":
         """Add the traffic of a link.
@@ -101,10 +104,11 @@
             self.sent_packets + link.sent_packets,
             self.received_bytes + link.received_bytes,
             self.received_packets + link.received_packets,
+            self.skipped_messages + link.skipped_messages,
         )
 
 
-NO_TRAFFIC = Traffic(0, 0, 0, 0)
+NO_TRAFFIC = Traffic(0, 0, 0, 0, 0)
 
 
 @dataclass
@@ -262,12 +266,23 @@
         await link.sock.close()
 
     async def _handle(self, link: PeerLink, message: Any) -> None:
+        if isinstance(message, UnknownMessage):
+            self._skip(link, message)
+            return
         handlers = HANDLERS.get(type(message))
         if handlers is None:
             raise BadMessage(f"unexpected message {type(message).__name__}")
         for handler in handlers:
             await handler(self, link, message)
 
+    @staticmethod
+    def _skip(link: PeerLink, message: UnknownMessage) -> None:
+        """Count a message of another version; log the first of a link."""
+        if not link.skipped_messages:
+            name, code = link.peer.name, message.code
+            log_event("message_skipped", "WARNING", peer=name, code=code)
+        link.skipped_messages += 1
+
     async def run(self) -> None:
         """Maintain links, heartbeats and the member list until cancelled."""
         try:
