Do not count a caller that leaves as a repeat that was slower

A request for a new object is sent a second time, and an endpoint whose repeats are seldom the faster ones gets no more of them. A repeat that was cancelled counted as slower whatever the reason: the first response had arrived, or the caller had left while both requests ran. Four callers that left in a row (each lowers the share of faster repeats by a fifth, and 0.5 is the limit) ended the repeats at an endpoint that had answered none of them late.

The exchange now notes when a success decides it. Only a repeat that is cancelled after that counts as slower; one that is cancelled before is counted as abandoned (metric repeats) and says nothing about the endpoint.

test_caller_that_leaves_does_not_count_as_a_slower_repeat failed before (share 0.8 where 1.0 is right) and passes now. The tests beside it, that the first response decides between faster and slower, passed before and after. Tests of the gateway and of steering: 167 passed.

--- a/carawayvale/gateway/observer.py
+++ b/carawayvale/gateway/observer.py
@@ -108,8 +108,9 @@
         """Count a second request for a new object by its outcome.
 
         :param service: name of the service.
-        :param outcome: ``faster``, ``slower`` or ``failed``; ``no_slot``
-            and ``no_budget`` if it was not sent.
+        :param outcome: ``faster``, ``slower`` or ``failed``; ``abandoned``
+            if the caller left first; ``no_slot`` and ``no_budget`` if it
+            was not sent.
         """
         self.metrics.count("repeats", f"{service}/{outcome}")
 
--- a/carawayvale/gateway/repeated_exchange.py
+++ b/carawayvale/gateway/repeated_exchange.py
@@ -47,7 +47,9 @@
 class RepeatedExchange:
     """Exchange of an idempotent request that may be sent twice.
 
-    The exchange that is not needed any more is cancelled.
+    The exchange that is not needed any more is cancelled. Only the first
+    success tells which of the two was faster: if the caller leaves before,
+    nothing is known about the repeat.
 
     :param owned: the endpoint.
     :param owner_request: the request.
@@ -63,6 +65,7 @@
         self.owned = owned
         self.owner_request = owner_request
         self.queued = queued
+        self.answered = False
 
     async def run(self, delay_s: float) -> UpstreamResult:
         """Send the request, and once more if it takes longer than a delay.
@@ -82,6 +85,7 @@
             async for task in group:
                 result = choose_result(result, task.result)
                 if result is not None and result.is_success:
+                    self.answered = True
                     self.queued.answered_by_repeat = task is not first
                     await group.cancel_remaining()
                     break
@@ -108,12 +112,19 @@
             self._count("faster" if success else "failed")
             return result
         except curio.CancelledError:
-            owned.repeat_policy.record(False)
-            self._count("slower")
+            self._record_cancelled()
             raise
         finally:
             owned.queue.release(repeat, read_boot_clock(), success)
             await owned.dispatch()
 
+    def _record_cancelled(self) -> None:
+        """Record a repeat that ended without a result of its own."""
+        if not self.answered:
+            self._count("abandoned")
+            return
+        self.owned.repeat_policy.record(False)
+        self._count("slower")
+
     def _count(self, outcome: str) -> None:
         self.owned.observer.count_repeat(self.owned.service.name, outcome)
