Give each test deployment backend servers of its own

The tests that start deployments failed beside others, each run with another set of failures: callers got outcome_unknown, no_capacity, retry_budget and deadline. Load was suspected, or the way in which an instance stops.

Cause: a deployment maps the ports of the example to a free range that it reserves, but the pattern matched 7000 to 7999 only. The backend servers of the example have the ports 8000 to 8047, so all deployments on a machine used the same ones. The one that came second could not bind them; its backend process ended with "Address already in use", which nobody looked at, and its entries sent their requests to the backend servers of the other run.

Trace of a rolling restart beside test_drains and test_traffic, load average 15, on the code before: its backend process ended at its start, 18:03:28. 232 of 3133 calls failed. At 18:03:39 and 18:03:46, when the other run killed its backend servers at the end of a test, callers got no_capacity and outcome_unknown. No instance was stopping at 18:03:48.4 to 18:03:49.6, when callers got outcome_unknown all the time, so the stop of an instance is not the cause.

Every port of an example is mapped now, and a port outside of the reserved range is an error. The test that no port is shared failed before with the ports 8000 to 8047; the three of ports outside of the range failed as well.

--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -18,7 +18,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 EXAMPLE = ROOT / "examples" / "gitterwerk"
 
-# The ports of an example, from its first port, are mapped to a free range.
+# The ports of an example, all in a range of PORT_RANGE_SIZE from its first
+# port, are mapped to a free range.
 EXAMPLE_FIRST_PORT = 7000
 PORT_RANGE_SIZE = 1100
 MIN_PORT = 12000
@@ -29,7 +30,7 @@
 # A loopback address on which nothing else listens.
 LOCK_ADDRESS = "127.255.255.254"
 KEY = "deployment-test-key"
-PORT_PATTERN = re.compile(r"127\.0\.0\.1:(7\d{3})\b")
+PORT_PATTERN = re.compile(r"127\.0\.0\.1:(\d+)\b")
 ADDRESS_PATTERN = re.compile(r"^(\w+) = 127\.0\.0\.1:(\d+)$", re.MULTILINE)
 
 
@@ -214,11 +215,22 @@
 
     def map_ports(self, text: str) -> str:
         """Replace the ports of the example by ports of the free range."""
-        offset = self.first_port - EXAMPLE_FIRST_PORT
         return PORT_PATTERN.sub(
-            lambda m: f"127.0.0.1:{int(m[1]) + offset}", text
+            lambda match: f"127.0.0.1:{self.map_port(int(match[1]))}", text
         )
 
+    def map_port(self, port: int) -> int:
+        """Find the port of this deployment for a port of the example.
+
+        :param port: port in the example.
+        :returns: the port at the same place of the free range.
+        :raises ValueError: if the port is not in the example's range.
+        """
+        place = port - EXAMPLE_FIRST_PORT
+        if not 0 <= place < PORT_RANGE_SIZE:
+            raise ValueError(f"port {port} is not in the example's range")
+        return self.first_port + place
+
     def write_settings(
         self, name: str, example: Path, extra_settings: str = ""
     ) -> Path:
--- a/carawayvale/commands/tests/test_deployment.py
+++ b/carawayvale/commands/tests/test_deployment.py
@@ -1,7 +1,26 @@
 """Tests of the ports that a deployment of real processes uses."""
 
+import pytest
+
+from benchmarks.deployment import PORT_PATTERN
 from benchmarks.deployment import PORT_RANGE_SIZE
 from benchmarks.deployment import reserve_ports
+from benchmarks.deployment import RunningDeployment
+
+
+@pytest.fixture
+def idle_deployment(tmp_path):
+    """Prepare a deployment without a process."""
+    deployment = RunningDeployment(tmp_path)
+    yield deployment
+    deployment.stop()
+
+
+def list_ports(deployment):
+    """List the ports in the document and the settings of a deployment."""
+    paths = [deployment.document, *deployment.settings.values()]
+    texts = [path.read_text() for path in paths]
+    return {int(port) for text in texts for port in PORT_PATTERN.findall(text)}
 
 
 class TestPorts:
@@ -25,3 +44,18 @@
         second = reserve_ports()
         second.release()
         assert second.first_port == first.first_port
+
+    def test_no_port_of_a_deployment_is_shared_with_another_run(
+        self, idle_deployment
+    ):
+        first_port = idle_deployment.first_port
+        own_ports = set(range(first_port, first_port + PORT_RANGE_SIZE))
+        assert idle_deployment.find_endpoints(".*")
+        assert list_ports(idle_deployment) - own_ports == set()
+
+    @pytest.mark.parametrize("port", [6999, 7000 + PORT_RANGE_SIZE, 80])
+    def test_port_outside_of_the_range_is_an_error(
+        self, idle_deployment, port
+    ):
+        with pytest.raises(ValueError, match=f"port {port} is not"):
+            idle_deployment.map_ports(f"address = 127.0.0.1:{port}")
