Fail the start of a test deployment whose backend servers do not run

A deployment whose store or backend servers ended at their start went on, and its tests failed later by what callers got.

The start now waits until both have logged that they serve, and raises ProcessEnded with the log of the one that ended.

--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -34,6 +34,10 @@
 ADDRESS_PATTERN = re.compile(r"^(\w+) = 127\.0\.0\.1:(\d+)$", re.MULTILINE)
 
 
+class ProcessEnded(Exception):
+    """Raised if a process of a deployment ended at its start."""
+
+
 @dataclass
 class Process:
     """Process of a deployment and its log file.
@@ -279,7 +283,10 @@
         return self.processes[name]
 
     def start_platform(self) -> None:
-        """Start the store and the backend servers."""
+        """Start the store and the backend servers, and wait until they run.
+
+        :raises ProcessEnded: if one of them ends, since a port is in use.
+        """
         store_settings = self.folder / "store.ini"
         store_settings.write_text(
             f"[store]\naddress = 127.0.0.1:{self.store_port}\n"
@@ -294,6 +301,27 @@
             "--service-ms",
             str(self.service_ms),
         )
+        self.wait_until_logged("store", "event=store_started")
+        self.wait_until_logged("backends", "event=backend_started")
+
+    def wait_until_logged(self, name: str, text: str) -> None:
+        """Wait until the log of a process contains a text.
+
+        :param name: name of the process.
+        :param text: the text.
+        :raises ProcessEnded: if the process ends.
+        :raises TimeoutError: if the log does not contain the text in time.
+        """
+        process = self.processes[name]
+
+        def is_logged() -> bool:
+            is_running = process.is_running
+            log = process.log.read_text()
+            if not is_running:
+                raise ProcessEnded(f"{name} ended: {log}")
+            return text in log
+
+        self.wait_until(is_logged, f"{name} has not logged {text!r}")
 
     def start_entry(self, name: str) -> Process:
         """Start an entry instance."""
--- a/carawayvale/commands/tests/test_deployment.py
+++ b/carawayvale/commands/tests/test_deployment.py
@@ -1,9 +1,12 @@
-"""Tests of the ports that a deployment of real processes uses."""
+"""Tests of the ports and the start of a deployment of real processes."""
+
+import socket
 
 import pytest
 
 from benchmarks.deployment import PORT_PATTERN
 from benchmarks.deployment import PORT_RANGE_SIZE
+from benchmarks.deployment import ProcessEnded
 from benchmarks.deployment import reserve_ports
 from benchmarks.deployment import RunningDeployment
 
@@ -59,3 +62,19 @@
     ):
         with pytest.raises(ValueError, match=f"port {port} is not"):
             idle_deployment.map_ports(f"address = 127.0.0.1:{port}")
+
+
+class TestStart:
+    def test_backends_that_cannot_start_fail_the_start(self, idle_deployment):
+        """Callers were served by the backend servers of another run."""
+        port = max(idle_deployment.find_endpoints(".*").values())
+        with socket.socket() as other:
+            other.bind(("127.0.0.1", port))
+            other.listen()
+            with pytest.raises(ProcessEnded, match="Address already in use"):
+                idle_deployment.start_platform()
+
+    def test_platform_serves_once_it_has_started(self, idle_deployment):
+        idle_deployment.start_platform()
+        ledgers = idle_deployment.read_ledgers()
+        assert None not in ledgers.values()
