Log why forwarded requests end and why no attempt follows

The logs of the incident could not tell which side closed a connection between instances, on which news, what the owner saw, and why a request got no further attempt.

The entry now logs its own aborts with the news of the owner, the state of each lost owner, and the reason why no attempt follows. The owner logs a run that ends because the sender closed the connection. The stopping instance logs the requests in progress at each phase of its stop, and every instance the verdicts of its failure detector and the source of news of members. A counter shows runs cut around planned stops and how their requests ended. No decision is changed; tests of gateway and links pass.

--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -14,6 +14,7 @@
 from carawayvale.gateway.change_feed import ChangeFeed
 from carawayvale.gateway.forwarding import OwnerHandler
 from carawayvale.gateway.gateway_node import GatewayNode
+from carawayvale.gateway.observer import format_ms
 from carawayvale.gateway.page_handlers import LookupHandler
 from carawayvale.gateway.page_handlers import MetricsHandler
 from carawayvale.gateway.page_handlers import ReadinessHandler
@@ -248,11 +249,24 @@
         self.caller_server.closing = True
         await curio.sleep(LOOKUP_EXPIRY_S)
         deadline_s = start_s + self.settings.bounds.grace_s - STOP_MARGIN_S
+        self._log_stop_phase("close_callers", deadline_s)
         await self._finish_requests(self.caller_server, deadline_s)
+        self._log_stop_phase("close_internal", deadline_s)
         await self._finish_requests(self.internal_server, deadline_s)
+        self._log_stop_phase("depart", deadline_s)
         await self.peers.announce_departure()
         await curio.sleep(STOP_POLL_S)
 
+    def _log_stop_phase(self, phase: str, deadline_s: float) -> None:
+        """Log the requests in progress when a phase of the stop begins."""
+        log_event(
+            "stop_phase",
+            phase=phase,
+            callers=self.caller_server.open_requests,
+            forwarded=self.internal_server.open_requests,
+            left_ms=format_ms(deadline_s - read_boot_clock()),
+        )
+
     async def _finish_requests(
         self, server: RequestServer, deadline_s: float
     ) -> None:
--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -193,8 +193,9 @@
     :param endpoint: name of the endpoint.
     :param abortable: connections to the owner that may be aborted if it
         becomes unreachable.
-    :returns: the result; FAILED if the connection to the owner broke or
-        its response is malformed, LATE if it did not respond in time.
+    :returns: the result; OWNER_LOST if the connection to the owner broke,
+        FAILED if its response is malformed, LATE if it did not respond in
+        time.
     :raises OwnerUnreachable: if no connection could be opened.
     """
     remaining_s = owner_request.deadline_s - read_boot_clock()
@@ -217,7 +218,11 @@
             UpstreamOutcome.LATE,
             cause="no response from owner before the deadline",
         )
-    except (ConnectionBroken, ValueError) as error:
+    except ConnectionBroken as error:
+        result = UpstreamResult(
+            UpstreamOutcome.OWNER_LOST, cause=f"owner: {error!r}"
+        )
+    except ValueError as error:
         result = UpstreamResult(
             UpstreamOutcome.FAILED, cause=f"owner: {error!r}"
         )
--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -289,6 +289,16 @@
         record = self.membership.records.get(name)
         return record is not None and record.state is MemberState.ALIVE
 
+    def describe_state(self, name: str) -> str:
+        """Name the state of an instance for logs and metrics.
+
+        :param name: name of the instance.
+        :returns: the state in lower case; ``unknown`` if the instance is
+            not in the member list.
+        """
+        record = self.membership.records.get(name)
+        return "unknown" if record is None else record.state.name.lower()
+
     def back_off(self, name: str) -> None:
         """Send no requests to an unreachable instance for a while.
 
@@ -329,6 +339,9 @@
             if clients and not self.is_alive(name):
                 for client in list(clients):
                     client.abort()
+                record = self.membership.records.get(name)
+                if record is not None:
+                    self.observer.record_aborted_forwards(record, len(clients))
 
     def find_internal_address(self, name: str) -> Address | None:
         """Find the address for requests forwarded to an instance.
--- a/carawayvale/gateway/observer.py
+++ b/carawayvale/gateway/observer.py
@@ -10,6 +10,7 @@
 from enum import Enum
 
 from carawayvale.contracts.hashing import hash_text
+from carawayvale.links.messages import MemberRecord
 from carawayvale.telemetry.logs import log_event
 from carawayvale.telemetry.metrics import Metrics
 
@@ -104,6 +105,33 @@
         """
         self.metrics.count("refusals", f"{rank}/{reason}")
 
+    def count_lost_owner(self, state: str, outcome: RequestOutcome) -> None:
+        """Count a connection to an owner that broke during an attempt.
+
+        :param state: state of the owner in the member list.
+        :param outcome: how the request ended in the end.
+        """
+        self.metrics.count("lost_owners", f"{state}/{outcome.value}")
+
+    def record_aborted_forwards(
+        self, record: MemberRecord, number: int
+    ) -> None:
+        """Count and log forwarded requests that this instance aborted.
+
+        :param record: the news of the owner on which they were aborted.
+        :param number: number of the requests.
+        """
+        state = record.state.name.lower()
+        self.metrics.count("aborted_forwards", state, number)
+        log_event(
+            "forwards_aborted",
+            owner=record.name,
+            state=state,
+            incarnation=record.incarnation,
+            version=record.version,
+            count=number,
+        )
+
     def count_repeat(self, service: str, outcome: str) -> None:
         """Count a second request for a new object by its outcome.
 
--- a/carawayvale/gateway/owned_endpoint.py
+++ b/carawayvale/gateway/owned_endpoint.py
@@ -68,6 +68,12 @@
 }
 
 
+# Result of a run that ended because nobody waits for its response.
+CANCELLED_RUN = UpstreamResult(
+    UpstreamOutcome.CANCELLED, cause="sender closed its connection"
+)
+
+
 class SlotWaiter:
     """Event for the task of a request that waits for a slot.
 
@@ -216,6 +222,10 @@
             result = await self._send(owner_request, queued)
             success = result.is_success
             return replace(result, failing=self.health.is_failing)
+        except curio.CancelledError:
+            if queued in self.queue.running:
+                self._record_run(owner_request, queued, CANCELLED_RUN)
+            raise
         finally:
             self.waiters.pop(queued, None)
             self.queue.withdraw(queued)
--- a/carawayvale/gateway/proxy_handler.py
+++ b/carawayvale/gateway/proxy_handler.py
@@ -16,7 +16,9 @@
 from carawayvale.gateway.observer import MakeFields
 from carawayvale.gateway.observer import RequestOutcome
 from carawayvale.gateway.owner_request import OwnerRequest
+from carawayvale.gateway.request_context import LostOwner
 from carawayvale.gateway.request_context import RequestContext
+from carawayvale.gateway.request_context import StopReason
 from carawayvale.gateway.upstream import UpstreamOutcome
 from carawayvale.gateway.upstream import UpstreamResult
 from carawayvale.steering.placement import ObjectPlacement
@@ -140,6 +142,8 @@
         self.node.observer.record_outcome(
             outcome, rank, context.request_id, make_fields
         )
+        for owner in context.lost_owners:
+            self.node.observer.count_lost_owner(owner.state, outcome)
 
     def _make_owner_request(
         self, request: Request, route: RouteRecord
@@ -252,7 +256,7 @@
         for endpoint in endpoints:
             now_s = read_boot_clock()
             if now_s >= owner_request.deadline_s:
-                context.no_more_attempts = True
+                context.stop_reason = StopReason.DEADLINE
                 return None
             is_remote = endpoint.region != node.settings.region
             if is_remote and not node.shift_limit.allows_remote(now_s):
@@ -320,9 +324,13 @@
         owners = self.node.list_owners(endpoint, context.route.allowed_regions)
         for owner in owners[:MAX_OWNERS]:
             try:
-                return await serve_at_owner(
+                result = await serve_at_owner(
                     self.node, owner, owner_request, endpoint.name
                 )
+                if result.outcome is UpstreamOutcome.OWNER_LOST:
+                    state = self.node.describe_state(owner)
+                    context.lost_owners.append(LostOwner(owner, state))
+                return result
             except OwnerUnreachable as error:
                 self.node.back_off(owner)
                 log_event(
@@ -351,25 +359,29 @@
         elif result.outcome is not UpstreamOutcome.NOT_RUN:
             context.may_have_run = True
         self._log_failed_attempt(context, result)
-        context.no_more_attempts = not self._may_retry(context, result)
+        context.stop_reason = self._find_stop_reason(context, result)
         return False
 
-    def _may_retry(
+    def _find_stop_reason(
         self, context: RequestContext, result: UpstreamResult
-    ) -> bool:
+    ) -> StopReason | None:
         """Decide whether a request may be retried.
 
         A retry is deducted from the retry budget of the service.
+
+        :returns: why it may not be retried; None if it may.
         """
         if context.may_have_run and not context.route.idempotent:
-            return False
+            return StopReason.NOT_IDEMPOTENT
         if result.outcome is UpstreamOutcome.LATE:
-            return False
+            return StopReason.DEADLINE
         if len(context.attempted) >= context.route.max_attempts:
-            return False
+            return StopReason.ATTEMPT_LIMIT
         instances = len(self.node.membership.records)
         budget = self.node.find_retry_budget(context.service)
-        return budget.spend(read_boot_clock(), instances)
+        if not budget.spend(read_boot_clock(), instances):
+            return StopReason.RETRY_BUDGET
+        return None
 
     def _log_failed_attempt(
         self, context: RequestContext, result: UpstreamResult
@@ -381,6 +393,7 @@
             endpoint=context.attempted[-1],
             outcome=result.outcome.value,
             status=result.status,
+            lost_owners=context.format_lost_owners(),
             cause=result.cause,
         )
 
--- a/carawayvale/gateway/request_context.py
+++ b/carawayvale/gateway/request_context.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from enum import Enum
 
 from carawayvale.catalogue.records import EndpointRecord
 from carawayvale.catalogue.records import RouteRecord
@@ -12,6 +13,28 @@
 from carawayvale.steering.warm_up import WarmUpChoices
 
 
+class StopReason(Enum):
+    """Reason why a request gets no further attempt."""
+
+    NO_CANDIDATE = "no_candidate"
+    DEADLINE = "deadline"
+    NOT_IDEMPOTENT = "not_idempotent"
+    ATTEMPT_LIMIT = "attempt_limit"
+    RETRY_BUDGET = "retry_budget"
+
+
+@dataclass(frozen=True)
+class LostOwner:
+    """An owner to which the connection broke during an attempt.
+
+    :param name: name of the instance.
+    :param state: state of the instance in the member list at that moment.
+    """
+
+    name: str
+    state: str
+
+
 @dataclass(eq=False)
 class RequestContext:
     """State of one caller's request across all attempts.
@@ -23,7 +46,8 @@
     :param owner_request: the request as it is sent to owners, with its
         deadline.
     :param may_have_run: whether an endpoint may have run the request.
-    :param no_more_attempts: whether no further attempt is allowed.
+    :param stop_reason: why no further attempt is allowed; None while one
+        is.
     :param attempted: names of the endpoints that got the request.
     :param full: by name of an endpoint without a free slot, the seconds
         until the request would be complete there.
@@ -32,6 +56,7 @@
         after the healthy ones.
     :param attempts: endpoint and outcome of each attempt, for the log.
     :param current: name of the endpoint that is being attempted.
+    :param lost_owners: owners to which the connection broke.
     :param fallback: a server error response, returned if no later
         attempt succeeds.
     """
@@ -43,14 +68,28 @@
     owner_request: OwnerRequest
     warm_up_choices: WarmUpChoices
     may_have_run: bool = False
-    no_more_attempts: bool = False
+    stop_reason: StopReason | None = None
     attempted: list[str] = field(default_factory=list)
     full: dict[str, float] = field(default_factory=dict)
     skipped: list[EndpointRecord] = field(default_factory=list)
     attempts: list[tuple[str, str]] = field(default_factory=list)
     current: str = ""
+    lost_owners: list[LostOwner] = field(default_factory=list)
     fallback: UpstreamResult | None = None
 
+    @property
+    def no_more_attempts(self) -> bool:
+        """Whether no further attempt is allowed."""
+        return self.stop_reason is not None
+
+    def format_lost_owners(self) -> str:
+        """Format the owners to which the connection broke for the log.
+
+        :returns: ``instance:state`` pairs; a dash without any.
+        """
+        pairs = [f"{owner.name}:{owner.state}" for owner in self.lost_owners]
+        return ",".join(pairs) or "-"
+
     def format_attempts(self) -> str:
         """Format the attempts and their outcomes for the log.
 
@@ -104,5 +143,7 @@
             "route": self.route.name,
             "asked": self.format_attempts(),
             "left_ms": format_ms(self.owner_request.deadline_s - now_s),
+            "stopped_by": (self.stop_reason or StopReason.NO_CANDIDATE).value,
+            "lost_owners": self.format_lost_owners(),
             "revision": revision,
         }
--- a/carawayvale/gateway/upstream.py
+++ b/carawayvale/gateway/upstream.py
@@ -58,6 +58,9 @@
     NOT_RUN: the endpoint reports that it did not run the request.
     FAILED: the request may have run, and there is no usable response.
     LATE: the request may have run, and its deadline has passed.
+    OWNER_LOST: the connection to the owner broke; the request may have
+    run. CANCELLED: the instance that sent the request to its owner, or
+    its caller, closed the connection; this is only logged.
     """
 
     ANSWERED = "answered"
@@ -68,6 +71,8 @@
     NOT_RUN = "not_run"
     FAILED = "failed"
     LATE = "late"
+    OWNER_LOST = "owner_lost"
+    CANCELLED = "cancelled"
 
 
 @dataclass(frozen=True)
--- a/carawayvale/links/handlers.py
+++ b/carawayvale/links/handlers.py
@@ -58,16 +58,17 @@
     for record in message.records:
         known = table.membership.records.get(record.name)
         if table.membership.receive(record, now_s):
-            log_state_change(known, record)
+            log_state_change(known, record, link.peer.name)
     await table.update_neighbours()
     await table.send_updates(link.peer.name, message.records)
 
 
-def log_state_change(known: Any, record: Any) -> None:
+def log_state_change(known: Any, record: Any, source: str) -> None:
     """Log a change in the state of a member.
 
     :param known: the previous record, or None.
     :param record: the new record.
+    :param source: name of the peer that sent the record.
     """
     if known is None or known.state is not record.state:
         log_event(
@@ -76,6 +77,7 @@
             state=record.state.name.lower(),
             incarnation=record.incarnation,
             version=record.version,
+            source=source,
         )
 
 
--- a/carawayvale/links/peers.py
+++ b/carawayvale/links/peers.py
@@ -263,6 +263,7 @@
             del self.links[name]
             if not closed and not link.is_closing:
                 self.membership.suspect_disconnected(name, self.clock.read())
+                self._log_verdict(name, "link_broken")
         await link.sock.close()
 
     async def _handle(self, link: PeerLink, message: Any) -> None:
@@ -296,7 +297,13 @@
     async def _tick(self) -> None:
         now_s = self.clock.read()
         pauses = self.membership.pauses
+        suspected = set(self.membership.suspected_s)
+        dead = set(self.membership.dead_s)
         unreachable = self.membership.advance(now_s)
+        for name in self.membership.suspected_s.keys() - suspected:
+            self._log_verdict(name, "not_heard")
+        for name in self.membership.dead_s.keys() - dead:
+            self._log_verdict(name, "not_refuted")
         if self.membership.pauses != pauses:
             log_event("pause_noticed", "WARNING")
         for name in unreachable:
@@ -313,6 +320,19 @@
             self.last_report_s = now_s
             await self._send_reports()
 
+    def _log_verdict(self, name: str, cause: str) -> None:
+        """Log what the own failure detector made of an instance."""
+        record = self.membership.records.get(name)
+        if record is not None:
+            log_event(
+                "member_judged",
+                name=name,
+                state=record.state.name.lower(),
+                incarnation=record.incarnation,
+                version=record.version,
+                cause=cause,
+            )
+
     async def _send_reports(self) -> None:
         packed: dict[str, bytes] = {}
         for active in list(self.links.values()):
