--- /dev/null
+++ b/carawayvale/gateway/tests/test_planned_stops.py
@@ -0,0 +1,84 @@
+"""End-to-end tests of requests in progress while owners stop."""
+
+import curio
+import pytest
+
+from carawayvale.gateway.tests.fleet import open_fleet
+
+SERVICE_TIME_S = 0.6
+KEYS = (b"1", b"2", b"3")
+
+
+def run_scenario(scenario, **options):
+    """Run a scenario with a fleet."""
+
+    async def run():
+        async with open_fleet(**options) as fleet:
+            await scenario(fleet)
+
+    curio.run(run)
+
+
+def count_events(fleet, name, suffix=""):
+    """Sum a counter of all instances over the matching kinds."""
+    return sum(
+        number
+        for daemon in fleet.daemons
+        for (counter, kind), number in (
+            daemon.node.observer.metrics.counters.items()
+        )
+        if counter == name and kind.endswith(suffix)
+    )
+
+
+async def send_call(fleet, daemon, key):
+    """Send one request about an object as a caller."""
+    return await fleet.call(daemon, key=key)
+
+
+async def start_calls(fleet):
+    """Send requests to all instances, and wait until some are forwarded."""
+    for endpoint in fleet.endpoints.values():
+        endpoint.service_time_s = SERVICE_TIME_S
+    calls = [
+        await curio.spawn(send_call, fleet, daemon, key, daemon=True)
+        for daemon in fleet.daemons
+        for key in KEYS
+    ]
+    await fleet.wait_until(
+        lambda: (
+            sum(d.caller_server.open_requests for d in fleet.daemons)
+            == len(calls)
+            and any(d.internal_server.open_requests for d in fleet.daemons)
+        )
+    )
+    return calls
+
+
+def list_owners(fleet):
+    """List the instances by the number of requests forwarded to them."""
+    return sorted(
+        fleet.daemons,
+        key=lambda daemon: daemon.internal_server.open_requests,
+        reverse=True,
+    )
+
+
+async def join_calls(calls):
+    """Wait for all responses, and return their statuses."""
+    return {(await call.join()).head.status for call in calls}
+
+
+class TestLeavingOwners:
+    @pytest.mark.parametrize("leaving", [1, 2, 3])
+    def test_forwarded_runs_are_not_cut_when_their_owners_leave(self, leaving):
+        async def scenario(fleet):
+            calls = await start_calls(fleet)
+            for daemon in list_owners(fleet)[:leaving]:
+                await daemon.stop()
+            assert await join_calls(calls) == {200}
+            assert count_events(fleet, "lost_owners") == 0
+            assert count_events(fleet, "runs", "/cancelled") == 0
+
+        names = ("i-1", "i-2", "i-3", "i-4")
+        run_scenario(scenario, instances=3, endpoints=names)
