Let a leaving owner finish the requests forwarded to it

Callers got 502 for idempotent requests whose owners were asked to stop, while an endpoint was at work on them.

The cause: an instance that heard that an owner was leaving closed its own connections to it. One predicate answered two questions, whether an instance may get new requests and whether it can finish those that it has; an idle instance accepts none, but serves on for seconds. Each abort used up one of two attempts, and while owners left one after another a request lost both.

The member list now answers the two questions apart. Connections are kept by the owner's process, so that a restarted instance, which is idle too, still ends the requests at its former process.

--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -11,6 +11,8 @@
 
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.forward_table import ForwardTable
+from carawayvale.gateway.forward_table import OwnerProcess
 from carawayvale.gateway.gateway_node import GatewayNode
 from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.http_messages import Response
@@ -184,15 +186,16 @@
     pool: ConnectionPool,
     owner_request: OwnerRequest,
     endpoint: str,
-    abortable: set[HttpClient],
+    forwards: ForwardTable,
+    owner: OwnerProcess,
 ) -> UpstreamResult:
     """Forward a request to the owner of an endpoint.
 
     :param pool: connections to the owner's internal port.
     :param owner_request: the request and the parameters of the attempt.
     :param endpoint: name of the endpoint.
-    :param abortable: connections to the owner that may be aborted if it
-        becomes unreachable.
+    :param forwards: the connections that are aborted if their owner fails.
+    :param owner: process of the owner.
     :returns: the result; OWNER_LOST if the connection to the owner broke,
         FAILED if its response is malformed, LATE if it did not respond in
         time.
@@ -208,7 +211,7 @@
         raise OwnerUnreachable(str(error)) from None
     complete = False
     if owner_request.idempotent:
-        abortable.add(client)
+        forwards.add(owner, client)
     try:
         async with curio.timeout_after(remaining_s + RESPONSE_MARGIN_S):
             result = await _exchange(client, owner_request, endpoint)
@@ -227,7 +230,7 @@
             UpstreamOutcome.FAILED, cause=f"owner: {error!r}"
         )
     finally:
-        abortable.discard(client)
+        forwards.discard(owner, client)
         if not complete:
             await client.close()
     if complete:
@@ -295,6 +298,11 @@
     address: Address | None = node.find_internal_address(owner)
     if address is None:
         raise OwnerUnreachable(owner)
-    abortable = node.forward_clients.setdefault(owner, set())
-    pool = node.peer_pools.find(address)
-    return await forward_request(pool, owner_request, endpoint, abortable)
+    process = OwnerProcess(owner, node.membership.records[owner].incarnation)
+    return await forward_request(
+        node.peer_pools.find(address),
+        owner_request,
+        endpoint,
+        node.forwards,
+        process,
+    )
--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -14,11 +14,11 @@
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.contracts.hashing import hash_text
+from carawayvale.gateway.forward_table import ForwardTable
 from carawayvale.gateway.observer import RequestObserver
 from carawayvale.gateway.owned_endpoint import OwnedEndpoint
 from carawayvale.gateway.settings import GatewaySettings
 from carawayvale.links.connections import ConnectionPools
-from carawayvale.links.http_client import HttpClient
 from carawayvale.links.membership import Membership
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links.messages import MemberState
@@ -91,7 +91,7 @@
         self.shift_limit = ShiftLimit(settings.bounds.max_shift)
         self.backoff_until_s: dict[str, float] = {}
         self.full: dict[str, FullEndpoint] = {}
-        self.forward_clients: dict[str, set[HttpClient]] = {}
+        self.forwards = ForwardTable()
         self.leaving = False
         self.configured_s = read_boot_clock()
         self.members_changed_s = self.configured_s
@@ -271,7 +271,7 @@
             name
             for name in order
             if now_s >= self.backoff_until_s.get(name, 0.0)
-            and self.is_alive(name)
+            and self.membership.accepts_requests(name)
             and self._may_handle(name, allowed_regions)
         ]
 
@@ -280,15 +280,6 @@
             return True
         return self.membership.records[name].region in allowed_regions
 
-    def is_alive(self, name: str) -> bool:
-        """Tell whether the failure detector reports an instance as alive.
-
-        :param name: name of the instance.
-        :returns: whether the instance is known and alive.
-        """
-        record = self.membership.records.get(name)
-        return record is not None and record.state is MemberState.ALIVE
-
     def describe_state(self, name: str) -> str:
         """Name the state of an instance for logs and metrics.
 
@@ -334,14 +325,14 @@
         return known.finish_s
 
     def abort_forwards(self) -> None:
-        """Abort idempotent requests at owners that are unreachable."""
-        for name, clients in self.forward_clients.items():
-            if clients and not self.is_alive(name):
-                for client in list(clients):
-                    client.abort()
-                record = self.membership.records.get(name)
-                if record is not None:
-                    self.observer.record_aborted_forwards(record, len(clients))
+        """Abort idempotent requests at owners that cannot finish them."""
+        for owner in self.forwards.list_owners():
+            if self.membership.may_finish(owner.name, owner.incarnation):
+                continue
+            number = self.forwards.abort(owner)
+            record = self.membership.records.get(owner.name)
+            if record is not None:
+                self.observer.record_aborted_forwards(record, number)
 
     def find_internal_address(self, name: str) -> Address | None:
         """Find the address for requests forwarded to an instance.
--- a/carawayvale/links/membership.py
+++ b/carawayvale/links/membership.py
@@ -21,6 +21,9 @@
 
 SERVING = frozenset({MemberState.ALIVE, MemberState.SUSPECT})
 
+# States in which an instance finishes the requests that it has.
+FINISHING = frozenset({MemberState.ALIVE, MemberState.IDLE})
+
 
 @dataclass
 class Membership:
@@ -289,6 +292,28 @@
         version = self.own_record.version + 1
         self._announce(replace(self.own_record, version=version, state=state))
 
+    def accepts_requests(self, name: str) -> bool:
+        """Tell whether an instance may get new requests.
+
+        :param name: name of the instance.
+        :returns: whether it is known, serves and is not suspected.
+        """
+        record = self.records.get(name)
+        return record is not None and record.state is MemberState.ALIVE
+
+    def may_finish(self, name: str, incarnation: int) -> bool:
+        """Tell whether a process may still finish the requests it has.
+
+        :param name: name of the instance.
+        :param incarnation: incarnation of the process.
+        :returns: whether neither its state nor a later process of the
+            instance rules that out.
+        """
+        record = self.records.get(name)
+        if record is None or record.incarnation > incarnation:
+            return False
+        return record.state in FINISHING
+
     def take_updates(self, limit: int) -> tuple[MemberRecord, ...]:
         """Take changed records from the queue, to send once on each link.
 
