Keep the requests at a suspected owner

Callers' idempotent requests were cut and started again elsewhere, or given up, when their owner was only suspected.

test_runs_at_a_suspected_owner_are_not_cut failed before (six requests lost).

--- a/carawayvale/gateway/tests/test_planned_stops.py
+++ b/carawayvale/gateway/tests/test_planned_stops.py
@@ -1,9 +1,12 @@
-"""End-to-end tests of requests in progress while owners stop."""
+"""End-to-end tests of requests in progress while owners stop or fail."""
+
+from dataclasses import replace
 
 import curio
 import pytest
 
 from carawayvale.gateway.tests.fleet import open_fleet
+from carawayvale.links.messages import MemberState
 
 SERVICE_TIME_S = 0.6
 KEYS = (b"1", b"2", b"3")
@@ -64,6 +67,13 @@
     )
 
 
+def declare_dead(membership, daemon):
+    """Merge the verdict of a failure detector that an instance is dead."""
+    known = membership.records[daemon.settings.name]
+    verdict = replace(known, state=MemberState.DEAD)
+    membership.receive(verdict, membership.now_s)
+
+
 async def join_calls(calls):
     """Wait for all responses, and return their statuses."""
     return {(await call.join()).head.status for call in calls}
@@ -82,3 +92,35 @@
 
         names = ("i-1", "i-2", "i-3", "i-4")
         run_scenario(scenario, instances=3, endpoints=names)
+
+
+class TestSuspectedOwners:
+    def test_runs_at_a_suspected_owner_are_not_cut(self):
+        async def scenario(fleet):
+            calls = await start_calls(fleet)
+            for daemon in fleet.daemons:
+                membership = daemon.node.membership
+                for name in list(membership.records):
+                    if name != daemon.settings.name:
+                        membership.suspect(name, membership.now_s)
+                await daemon.peers.update_neighbours()
+            assert await join_calls(calls) == {200}
+            assert count_events(fleet, "lost_owners") == 0
+            assert count_events(fleet, "runs", "/cancelled") == 0
+
+        names = ("i-1", "i-2", "i-3", "i-4")
+        run_scenario(scenario, instances=3, endpoints=names)
+
+    def test_requests_leave_an_owner_that_is_declared_dead(self):
+        async def scenario(fleet):
+            calls = await start_calls(fleet)
+            owner = list_owners(fleet)[0]
+            for daemon in fleet.daemons:
+                if daemon is not owner:
+                    declare_dead(daemon.node.membership, owner)
+                    await daemon.peers.update_neighbours()
+            assert count_events(fleet, "aborted_forwards", "dead") > 0
+            await join_calls(calls)
+
+        names = ("i-1", "i-2", "i-3", "i-4")
+        run_scenario(scenario, instances=3, endpoints=names)
--- a/carawayvale/links/membership.py
+++ b/carawayvale/links/membership.py
@@ -21,8 +21,9 @@
 
 SERVING = frozenset({MemberState.ALIVE, MemberState.SUSPECT})
 
-# States in which an instance finishes the requests that it has.
-FINISHING = frozenset({MemberState.ALIVE, MemberState.IDLE})
+# States in which an instance finishes the requests that it has. A
+# suspicion may still be refuted.
+FINISHING = SERVING | {MemberState.IDLE}
 
 
 @dataclass
--- a/carawayvale/links/tests/test_membership.py
+++ b/carawayvale/links/tests/test_membership.py
@@ -3,6 +3,8 @@
 from dataclasses import replace
 import random
 
+import pytest
+
 from carawayvale.contracts import Address
 from carawayvale.links import choose_neighbours
 from carawayvale.links import choose_redials
@@ -276,3 +278,30 @@
         membership.receive(dead, 1.0)
         membership.receive(replace(record, incarnation=3), 2.0)
         assert membership.joins_and_leaves == before + 2
+
+
+class TestFinishing:
+    """Whether an instance may still finish the requests that it has."""
+
+    @pytest.mark.parametrize(
+        ("state", "may_finish"),
+        [
+            (MemberState.ALIVE, True),
+            (MemberState.IDLE, True),
+            (MemberState.SUSPECT, True),
+            (MemberState.DEAD, False),
+        ],
+    )
+    def test_only_a_verdict_of_death_ends_requests(self, state, may_finish):
+        membership = Membership(make_record("e1"))
+        membership.receive(make_record("e2"), 0.0)
+        membership.receive(replace(make_record("e2"), state=state), 0.0)
+        assert membership.may_finish("e2", 1) is may_finish
+        accepts = membership.accepts_requests("e2")
+        assert accepts is (state is MemberState.ALIVE)
+
+    def test_a_later_process_does_not_finish_requests(self):
+        membership = Membership(make_record("e1"))
+        membership.receive(make_record("e2", incarnation=2), 0.0)
+        assert not membership.may_finish("e2", 1)
+        assert membership.may_finish("e2", 2)
