Let a departing instance spread no suspicion of its peers

The cause: when the process ends, its links are cancelled one after another. Each cancelled link counted as broken by the peer, so the process suspected all its peers, and sent that over the links that it still had.

A link that this process ends itself now says nothing of the peer. The line about the verdict is written only if it changed the member list. test_departing_instance_spreads_no_suspicion failed before.

--- a/carawayvale/gateway/tests/test_planned_stops.py
+++ b/carawayvale/gateway/tests/test_planned_stops.py
@@ -5,6 +5,7 @@
 import curio
 import pytest
 
+from carawayvale.gateway import daemon as daemon_module
 from carawayvale.gateway.tests.fleet import open_fleet
 from carawayvale.links.messages import MemberState
 
@@ -124,3 +125,23 @@
 
         names = ("i-1", "i-2", "i-3", "i-4")
         run_scenario(scenario, instances=3, endpoints=names)
+
+
+class TestDepartures:
+    def test_departing_instance_spreads_no_suspicion(self, monkeypatch):
+        monkeypatch.setattr(daemon_module, "LOOKUP_EXPIRY_S", 0.3)
+
+        async def scenario(fleet):
+            departing = fleet.daemons[-1]
+            task = fleet.tasks[-1]
+            await departing.stop()
+            await fleet.wait_until(lambda: task.terminated)
+            own_name = departing.settings.name
+            states = {
+                name: record.state
+                for name, record in departing.node.membership.records.items()
+                if name != own_name
+            }
+            assert set(states.values()) == {MemberState.ALIVE}
+
+        run_scenario(scenario, instances=4)
--- a/carawayvale/links/peers.py
+++ b/carawayvale/links/peers.py
@@ -247,6 +247,10 @@
             await link.run(self._handle)
         except LinkClosed:
             closed = True
+        except curio.CancelledError:
+            # This process ends the link, which says nothing of the peer.
+            closed = True
+            raise
         except BadMessage as error:
             log_event("bad_message", "WARNING", peer=name, cause=str(error))
         except LinkBroken as error:
@@ -262,8 +266,10 @@
         if current is not None and current.link is link:
             del self.links[name]
             if not closed and not link.is_closing:
+                generation = self.membership.generation
                 self.membership.suspect_disconnected(name, self.clock.read())
-                self._log_verdict(name, "link_broken")
+                if self.membership.generation != generation:
+                    self._log_verdict(name, "link_broken")
         await link.sock.close()
 
     async def _handle(self, link: PeerLink, message: Any) -> None:
