Read the last responses of an instance that departs

An instance announces its departure when its last responses have been written, not when they have been read. The news can arrive first, over another connection; its reader then aborted idempotent requests whose responses were on their way.

The announcement is told apart from a failure detector's verdict of death: only the instance itself raises its version. After an announcement the connections end by themselves, when the process closes them; after a verdict they are aborted, as before.

test_requests_outlive_the_news_that_an_instance_departs failed before; its two neighbours guard the verdicts.

--- a/carawayvale/links/membership.py
+++ b/carawayvale/links/membership.py
@@ -45,6 +45,8 @@
         a link with the instance.
     :param suspected_s: time at which each suspicion began.
     :param dead_s: time at which each dead instance was declared dead.
+    :param departed: instances that announced their departure, which a
+        failure detector's verdict of death does not.
     :param updates: changed records that are not sent yet, by name.
     :param generation: number of changes of the member list.
     :param joins_and_leaves: number of changes of the set of instances
@@ -65,6 +67,7 @@
     last_heard_directly_s: dict[str, float] = field(default_factory=dict)
     suspected_s: dict[str, float] = field(default_factory=dict)
     dead_s: dict[str, float] = field(default_factory=dict)
+    departed: set[str] = field(default_factory=set)
     updates: dict[str, MemberRecord] = field(default_factory=dict)
     generation: int = 0
     joins_and_leaves: int = 0
@@ -117,11 +120,15 @@
         self._serving = None
         for times in (self.suspected_s, self.dead_s):
             times.pop(name, None)
+        self.departed.discard(name)
         if record.state is MemberState.SUSPECT:
             self.suspected_s[name] = now_s
         elif record.state is MemberState.DEAD:
             self.dead_s[name] = now_s
             self.last_heard_s.pop(name, None)
+            if known is not None and record.version > known.version:
+                # Only the instance itself raises its version.
+                self.departed.add(name)
         elif name in self.last_heard_s:
             self.last_heard_s[name] = now_s
         self.updates[name] = record
@@ -252,6 +259,7 @@
     def _forget(self, name: str) -> None:
         del self.records[name]
         del self.dead_s[name]
+        self.departed.discard(name)
         self.last_heard_directly_s.pop(name, None)
         self.updates.pop(name, None)
         self.generation += 1
@@ -305,6 +313,9 @@
     def may_finish(self, name: str, incarnation: int) -> bool:
         """Tell whether a process may still finish the requests it has.
 
+        The last responses of an instance that announced its departure may
+        still be on their way.
+
         :param name: name of the instance.
         :param incarnation: incarnation of the process.
         :returns: whether neither its state nor a later process of the
@@ -313,7 +324,7 @@
         record = self.records.get(name)
         if record is None or record.incarnation > incarnation:
             return False
-        return record.state in FINISHING
+        return record.state in FINISHING or name in self.departed
 
     def take_updates(self, limit: int) -> tuple[MemberRecord, ...]:
         """Take changed records from the queue, to send once on each link.
--- a/carawayvale/links/tests/test_membership.py
+++ b/carawayvale/links/tests/test_membership.py
@@ -25,6 +25,13 @@
     return MemberRecord(name, region, f"{region}-a", PORT, PORT, incarnation)
 
 
+def make_peer(name):
+    """Make the member list of an instance that knows another one."""
+    membership = Membership(make_record("e1"))
+    membership.receive(make_record(name), 0.0)
+    return membership
+
+
 class FakeNetwork:
     """Network that delivers heartbeats, updates and probes.
 
@@ -305,3 +312,27 @@
         membership.receive(make_record("e2", incarnation=2), 0.0)
         assert not membership.may_finish("e2", 1)
         assert membership.may_finish("e2", 2)
+
+    def test_requests_outlive_the_news_that_an_instance_departs(self):
+        """Its last responses may still be on their way."""
+        leaving, remaining = Membership(make_record("e2")), make_peer("e2")
+        leaving.leave()
+        leaving.retire()
+        remaining.receive(leaving.own_record, 0.0)
+        assert remaining.may_finish("e2", 1)
+        assert not remaining.accepts_requests("e2")
+
+    def test_requests_end_when_a_leaving_instance_is_declared_dead(self):
+        leaving, remaining = Membership(make_record("e2")), make_peer("e2")
+        leaving.leave()
+        remaining.receive(leaving.own_record, 0.0)
+        remaining.suspect("e2", 0.0)
+        remaining.advance(1.0)
+        assert remaining.records["e2"].state is MemberState.DEAD
+        assert not remaining.may_finish("e2", 1)
+
+    def test_the_verdict_of_a_peer_ends_requests(self):
+        remaining = make_peer("e2")
+        verdict = replace(make_record("e2"), state=MemberState.DEAD)
+        remaining.receive(verdict, 0.0)
+        assert not remaining.may_finish("e2", 1)
