Keep a suspected leaving instance out of the serving ones

A leaving instance whose link broke was suspected, and with that counted as serving again: it became owner of endpoints and watcher of the store for up to a second, and then lost both again.

The member list now remembers the record with which an instance was idle; a suspicion of that same record does not make it serve. Nothing changes in the messages. test_suspected_leaving_instance_is_not_serving failed before.

--- a/carawayvale/links/membership.py
+++ b/carawayvale/links/membership.py
@@ -45,6 +45,8 @@
         a link with the instance.
     :param suspected_s: time at which each suspicion began.
     :param dead_s: time at which each dead instance was declared dead.
+    :param idle_precedence: precedence of the last idle record of each
+        instance.
     :param departed: instances that announced their departure, which a
         failure detector's verdict of death does not.
     :param updates: changed records that are not sent yet, by name.
@@ -67,6 +69,9 @@
     last_heard_directly_s: dict[str, float] = field(default_factory=dict)
     suspected_s: dict[str, float] = field(default_factory=dict)
     dead_s: dict[str, float] = field(default_factory=dict)
+    idle_precedence: dict[str, tuple[int, int, int]] = field(
+        default_factory=dict
+    )
     departed: set[str] = field(default_factory=set)
     updates: dict[str, MemberRecord] = field(default_factory=dict)
     generation: int = 0
@@ -121,7 +126,9 @@
         for times in (self.suspected_s, self.dead_s):
             times.pop(name, None)
         self.departed.discard(name)
-        if record.state is MemberState.SUSPECT:
+        if record.state is MemberState.IDLE:
+            self.idle_precedence[name] = record.precedence
+        elif record.state is MemberState.SUSPECT:
             self.suspected_s[name] = now_s
         elif record.state is MemberState.DEAD:
             self.dead_s[name] = now_s
@@ -260,6 +267,7 @@
         del self.records[name]
         del self.dead_s[name]
         self.departed.discard(name)
+        self.idle_precedence.pop(name, None)
         self.last_heard_directly_s.pop(name, None)
         self.updates.pop(name, None)
         self.generation += 1
@@ -348,10 +356,15 @@
             self._serving = tuple(
                 record
                 for _, record in sorted(self.records.items())
-                if record.state in SERVING
+                if record.state in SERVING and not self._is_idle(record)
             )
         return self._serving
 
+    def _is_idle(self, record: MemberRecord) -> bool:
+        """Tell whether a suspected instance was idle before."""
+        idle = self.idle_precedence.get(record.name)
+        return idle is not None and record.precedence[:2] == idle[:2]
+
     @property
     def view_hash(self) -> bytes:
         """Hash of the member list, compared with the hashes of peers."""
--- a/carawayvale/links/tests/test_membership.py
+++ b/carawayvale/links/tests/test_membership.py
@@ -336,3 +336,19 @@
         verdict = replace(make_record("e2"), state=MemberState.DEAD)
         remaining.receive(verdict, 0.0)
         assert not remaining.may_finish("e2", 1)
+
+
+class TestSuspectedLeavingInstances:
+    def test_suspected_leaving_instance_is_not_serving(self):
+        leaving, remaining = Membership(make_record("e2")), make_peer("e2")
+        leaving.leave()
+        remaining.receive(leaving.own_record, 0.0)
+        remaining.suspect("e2", 0.0)
+        serving = [record.name for record in remaining.list_serving()]
+        assert serving == ["e1"]
+
+    def test_suspected_serving_instance_is_serving(self):
+        remaining = make_peer("e2")
+        remaining.suspect("e2", 0.0)
+        serving = [record.name for record in remaining.list_serving()]
+        assert serving == ["e1", "e2"]
