Count a response that is being sent as a request in progress

A stopping instance waited for its requests until their responses were made, not until they were sent. A large response to a slow reader could be cut by the end of the process, on the callers' port and on the one for forwarded requests.

test_response_that_is_being_sent_counts_as_open failed before.

--- a/carawayvale/gateway/server.py
+++ b/carawayvale/gateway/server.py
@@ -216,15 +216,17 @@
         if response is None:
             return False
         self.pipeline.popleft()
-        self.server.open_requests -= 1
         last = self.parser.ended or self.server.closing
         close = response.close or (last and not self.pipeline)
         response = Response(
             response.status, response.headers, response.body, close
         )
-        sent = await self._send(
-            self.parser.encode(response, open_request.request)
-        )
+        try:
+            sent = await self._send(
+                self.parser.encode(response, open_request.request)
+            )
+        finally:
+            self.server.open_requests -= 1
         ended = self.parser.ended and not self.pipeline
         return sent and not close and not ended
 
--- a/carawayvale/gateway/tests/test_server.py
+++ b/carawayvale/gateway/tests/test_server.py
@@ -17,6 +17,9 @@
 GET = b"GET /%d HTTP/1.1\r\nhost: a\r\n\r\n"
 POST = b"POST /%d HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nab"
 
+# More than the buffers of both sockets hold.
+LARGE_BODY_BYTES = 32 << 20
+
 
 class TestRequestParser:
     def parse(self, data, limits=RequestLimits(), step=1 << 20):
@@ -76,6 +79,7 @@
         self.started = []
         self.cancelled = []
         self.gates = {}
+        self.body = b""
         self.server = RequestServer(self.handle, limits)
 
     async def handle(self, request):
@@ -86,7 +90,7 @@
         except curio.CancelledError:
             self.cancelled.append(request.target)
             raise
-        return Response(200, body=request.target.encode())
+        return Response(200, body=self.body or request.target.encode())
 
     async def release(self, target):
         await self.gates.setdefault(target, curio.Event()).set()
@@ -196,6 +200,21 @@
 
         run_scenario(scenario)
 
+    def test_response_that_is_being_sent_counts_as_open(self):
+        async def scenario(gated, client):
+            gated.body = b"x" * LARGE_BODY_BYTES
+            await client.sendall(GET % 1)
+            await wait_until(lambda: gated.started == ["/1"])
+            await gated.release("/1")
+            await client.recv(1)
+            assert gated.server.open_requests == 1
+            received = 1
+            while received < LARGE_BODY_BYTES:
+                received += len(await client.recv(1 << 20))
+            await wait_until(lambda: gated.server.open_requests == 0)
+
+        run_scenario(scenario)
+
 
 class TestSlowCallers:
     def test_slow_request_head_gets_status_408(self):
