Let leaving instances own endpoints while no other can

Callers got 503 from leaving instances that still accepted their requests, when all instances that may handle the request were leaving: each knew the others and itself as idle, so an endpoint had no owner.

Now the idle instances are listed, the same order everywhere, if no serving one may handle the request. One that is starting answers that it cannot use the endpoint, as before.

--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -251,7 +251,8 @@
         """List the reachable owner candidates of an endpoint in order.
 
         If no instance serves in the endpoint's region, the instances of
-        all regions are candidates.
+        all regions are candidates. If none of these may handle the request,
+        the leaving ones are, since they serve on for a while.
 
         :param endpoint: the endpoint.
         :param allowed_regions: regions whose instances may handle the request;
@@ -266,15 +267,36 @@
             names = [r.name for r in self.membership.list_serving()]
             names.sort(key=lambda n: hash_text(f"{endpoint.name}|{n}"))
             order = names
+        owners = [
+            name
+            for name in order
+            if self.membership.accepts_requests(name)
+            and self._may_handle(name, allowed_regions)
+        ]
+        if not owners:
+            owners = [
+                name
+                for name in self._list_leaving(endpoint)
+                if self._may_handle(name, allowed_regions)
+            ]
         now_s = read_boot_clock()
         return [
             name
-            for name in order
+            for name in owners
             if now_s >= self.backoff_until_s.get(name, 0.0)
-            and self.membership.accepts_requests(name)
-            and self._may_handle(name, allowed_regions)
         ]
 
+    def _list_leaving(self, endpoint: EndpointRecord) -> list[str]:
+        """List the leaving instances, those near an endpoint first."""
+        leaving = self.membership.list_idle()
+        leaving.sort(
+            key=lambda record: (
+                record.region != endpoint.region,
+                hash_text(f"{endpoint.name}|{record.name}"),
+            )
+        )
+        return [record.name for record in leaving]
+
     def _may_handle(self, name: str, allowed_regions: frozenset[str]) -> bool:
         if not allowed_regions or name == self.settings.name:
             return True
--- a/carawayvale/links/membership.py
+++ b/carawayvale/links/membership.py
@@ -365,6 +365,17 @@
         idle = self.idle_precedence.get(record.name)
         return idle is not None and record.precedence[:2] == idle[:2]
 
+    def list_idle(self) -> list[MemberRecord]:
+        """List the instances that are about to leave or not ready yet.
+
+        :returns: records of all regions.
+        """
+        return [
+            record
+            for record in self.records.values()
+            if record.state is MemberState.IDLE
+        ]
+
     @property
     def view_hash(self) -> bytes:
         """Hash of the member list, compared with the hashes of peers."""
