Log the store's epoch and the items that a replica does not accept

The logs could not tell whether a configuration was read and refused, or never read, after the store returned from a copy. The client now logs the epoch that responses state (store_epoch, store_response_outdated), the feed logs items of a full reading that the replica does not accept (item_ignored), the builder a configuration that is not newer (configuration_ignored); a gauge shows the epoch.

--- a/carawayvale/catalogue/builder.py
+++ b/carawayvale/catalogue/builder.py
@@ -148,6 +148,12 @@
             log_event("configuration_removed", "WARNING")
             return False
         if old is not None and new.revision <= old.revision:
+            log_event(
+                "configuration_ignored",
+                version=new.version,
+                revision=new.revision,
+                known=old.version,
+            )
             return False
         self.configuration = new
         self.changed = True
--- a/carawayvale/gateway/change_feed.py
+++ b/carawayvale/gateway/change_feed.py
@@ -198,6 +198,7 @@
             changed = self.replica.apply_snapshot(
                 reading.items, reading.since, reading.revision
             )
+            self._log_ignored(reading.items.values())
             self.complete = True
         else:
             changes = await self.store.watch(
@@ -213,6 +214,19 @@
             await self._publish(to_publish)
         await curio.sleep(max(0.0, BATCH_S - (now_s - start_s)))
 
+    def _log_ignored(self, items: Iterable[StoredItem]) -> None:
+        """Log the items of a reading that the replica did not accept."""
+        for item in items:
+            known = self.replica.items[item.key]
+            if known.value != item.value:
+                log_event(
+                    "item_ignored",
+                    "WARNING",
+                    key=item.key,
+                    revision=item.revision,
+                    known=known.revision,
+                )
+
     async def _apply(
         self, changed: list[StoredItem], confirmed_s: float
     ) -> list[StoredItem]:
--- a/carawayvale/gateway/page_handlers.py
+++ b/carawayvale/gateway/page_handlers.py
@@ -125,6 +125,7 @@
             if configuration
             else 0,
             "configuration_age_s": now_s - node.configured_s,
+            "store_epoch": self.change_feed.store.epoch,
             "store_age_s": now_s - self.change_feed.confirmed_s,
             "revision": node.catalogue.revision,
             "endpoints": len(node.catalogue.endpoints),
--- a/carawayvale/platform/store_client.py
+++ b/carawayvale/platform/store_client.py
@@ -13,9 +13,13 @@
 from carawayvale.links.connections import ConnectionPool
 from carawayvale.links.connections import OutgoingCall
 from carawayvale.links.http import ConnectionBroken
+from carawayvale.links.http import ResponseHead
 from carawayvale.links.json_calls import JSON_TYPE
 from carawayvale.platform.values import parse_duration
 from carawayvale.platform.values import read_field
+from carawayvale.telemetry.logs import log_event
+
+EPOCH_HEADER = b"store-era"
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
@@ -86,10 +90,14 @@
 
     :param address: address of the store.
     :param timeout_s: longest wait for a response in seconds.
+
+    The attribute ``epoch`` is the latest known epoch of the store. An epoch
+    ends when the store returns from a copy.
     """
 
     def __init__(self, address: Address, timeout_s: float):
         self.address = address
+        self.epoch = 0
         self.timeout_s = timeout_s
         self.pool = ConnectionPool(address)
         self.host = (b"host", str(address).encode())
@@ -231,6 +239,7 @@
             # Other pooled connections to an unreachable store may hang too.
             await self.pool.close()
             raise StoreFailed(f"{self.address}: {error!r}") from None
+        self._record_epoch(read_epoch(response.head))
         if response.head.status != HTTP_OK:
             return response.head.status, None
         try:
@@ -238,6 +247,38 @@
         except ValueError as error:
             raise StoreFailed(f"{self.address}: {error}") from None
 
+    def _record_epoch(self, epoch: int) -> None:
+        if epoch > self.epoch:
+            log_event(
+                "store_epoch",
+                epoch=epoch,
+                known=self.epoch,
+                source="store",
+            )
+            self.epoch = epoch
+        elif epoch < self.epoch:
+            log_event(
+                "store_response_outdated",
+                "WARNING",
+                epoch=epoch,
+                known=self.epoch,
+            )
+
+
+def read_epoch(head: ResponseHead) -> int:
+    """Read the epoch of the store in which a response was sent.
+
+    :param head: head of the response.
+    :returns: the epoch; 0 for a response that states none.
+    :raises StoreFailed: if the header is not a number.
+    """
+    text = head.find(EPOCH_HEADER)
+    if text is None:
+        return 0
+    if not text.isdigit():
+        raise StoreFailed(f"malformed epoch {text!r}")
+    return int(text)
+
 
 def read_response_field(content: Any, name: str, value_type: type) -> Any:
     """Return the value of a field of a response from the store.
