--- a/carawayvale/platform/tests/fakes.py
+++ b/carawayvale/platform/tests/fakes.py
@@ -3,6 +3,7 @@
 import base64
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 import json
 from urllib.parse import parse_qs
 
@@ -37,6 +38,20 @@
     return Listener(open_listener(Address(LOOPBACK, 0)), serve)
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """Copy of a store's contents from which it may return.
+
+    :param items: rows of the present items by key.
+    :param revision: revision of the latest change.
+    :param leases: number of leases that were opened.
+    """
+
+    items: dict[str, dict]
+    revision: int
+    leases: int
+
+
 @dataclass
 class FakeStore:
     """In-memory implementation of the store's calls.
@@ -46,6 +61,9 @@
     :param revision: revision of the latest change.
     :param history_start: revision up to which changes are dropped.
     :param leases: number of leases that were opened.
+    :param open_leases: numbers of the leases that have not ended.
+    :param era: number that the store sends in all responses; it rises when
+        the store returns from a copy.
     :param calls: method and path of each call.
     :param status: HTTP status of each response; 200 for normal responses.
     :param unresponsive: whether calls get no response.
@@ -56,6 +74,8 @@
     revision: int = 10
     history_start: int = 0
     leases: int = 0
+    open_leases: set[int] = field(default_factory=set)
+    era: int = 1
     calls: list[str] = field(default_factory=list)
     status: int = 200
     unresponsive: bool = False
@@ -87,8 +107,28 @@
         self.history.clear()
         self.history_start = self.revision
 
+    def copy(self) -> StoreCopy:
+        """Copy the contents, to return from the copy later."""
+        return StoreCopy(dict(self.items), self.revision, self.leases)
+
+    def restore(self, copy: StoreCopy):
+        """Return from a copy: later changes and all leases are gone."""
+        self.items = {
+            key: row for key, row in copy.items.items() if not row["lease"]
+        }
+        self.revision = self.history_start = copy.revision
+        self.history.clear()
+        self.leases = copy.leases
+        self.open_leases.clear()
+        self.era += 1
+
     async def handle(self, request: Request) -> Response:
-        """Return the response to one call."""
+        """Return the response to one call, with the era at its end."""
+        response = await self._handle(request)
+        header = (b"store-era", b"%d" % self.era)
+        return replace(response, headers=(*response.headers, header))
+
+    async def _handle(self, request):
         self.calls.append(f"{request.method} {request.path}")
         while self.unresponsive:
             await curio.sleep(POLL_S)
@@ -115,7 +155,7 @@
         after = int(query["after"])
         elapsed_s = 0.0
         while elapsed_s < int(query["wait_ms"]) / 1000:
-            if after < self.history_start:
+            if not self.history_start <= after <= self.revision:
                 return Response(410)
             events = [row for row in self.history if row["rev"] > after]
             if events:
@@ -126,10 +166,11 @@
 
     async def _lease(self, query, request):
         self.leases += 1
+        self.open_leases.add(self.leases)
         return self._make_response(lease=self.leases, ttl_time="15000ms")
 
     async def _keep(self, query, request):
-        if int(request.path.rpartition("/")[2]) > self.leases:
+        if int(request.path.rpartition("/")[2]) not in self.open_leases:
             return Response(404)
         return self._make_response(ttl_time="15000ms")
 
@@ -139,6 +180,9 @@
             present = self.items.get(row["key"])
             if (present["rev"] if present else 0) != row["rev"]:
                 return Response(412, body=b'{"items":[]}')
+        leases = {row["lease"] for row in body["writes"]} - {0}
+        if not leases <= self.open_leases:
+            return Response(404)
         for row in body["writes"]:
             value = base64.b64decode(row["value"])
             self.put(row["key"], value, row["lease"])
