--- a/carawayvale/gateway/change_feed.py
+++ b/carawayvale/gateway/change_feed.py
@@ -15,25 +15,20 @@
 from carawayvale.catalogue.replica import StoreReplica
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.feed_peers import FeedPeers
-from carawayvale.links.feed_messages import FeedItem
+from carawayvale.gateway.feed_updates import pack_items
+from carawayvale.gateway.feed_updates import unpack_items
+from carawayvale.gateway.watcher_election import WatcherElection
 from carawayvale.links.feed_messages import FeedRequest
 from carawayvale.links.feed_messages import FeedUpdate
 from carawayvale.links.peer_link import pack_message
 from carawayvale.links.peer_link import PeerLink
 from carawayvale.links.peers import PeerTable
 from carawayvale.links.peers import register_message_handler
-from carawayvale.links.topology import elect
 from carawayvale.platform.store_client import HistoryGone
 from carawayvale.platform.store_client import StoreClient
 from carawayvale.platform.store_client import StoreFailed
 from carawayvale.telemetry.logs import log_event
 
-ROLE_STORE_WATCHER = "feeder"
-
-# Number of instances of a region with a position of their own among the
-# possible watchers.
-MAX_WATCHERS = 5
-
 # Reports of endpoints change the store several times a second; changes
 # that follow each other within this time are read with one call.
 BATCH_S = 0.25
@@ -64,35 +59,6 @@
 ApplyItems = Callable[[list[StoredItem], float], Awaitable[list[StoredItem]]]
 
 
-def pack_items(items: Iterable[StoredItem]) -> tuple[FeedItem, ...]:
-    """Convert stored items to message items.
-
-    :param items: the stored items.
-    :returns: the message items.
-    """
-    return tuple(
-        FeedItem(
-            item.key,
-            item.revision,
-            int(item.value is not None),
-            item.value or b"",
-        )
-        for item in items
-    )
-
-
-def unpack_items(items: Iterable[FeedItem]) -> list[StoredItem]:
-    """Convert message items to stored items.
-
-    :param items: the message items.
-    :returns: the stored items.
-    """
-    return [
-        StoredItem(i.key, i.revision, i.value if i.present else None)
-        for i in items
-    ]
-
-
 class ChangeFeed:
     """Feed of changes that keeps one instance's replica up to date.
 
@@ -117,42 +83,15 @@
         self.failures = 0
         self.reachable = True
         self.watching = False
-        self.elected_generation = -1
-        self.watch_position = MAX_WATCHERS
+        self.election = WatcherElection(peers.membership)
         self.feed_peers = FeedPeers()
         peers.change_feed = self
 
-    def find_watch_position(self) -> int:
-        """Find this instance's position among the possible watchers.
-
-        The watchers are elected again only after a change of the member
-        list.
-
-        :returns: 0 for the instance that watches by default, a larger
-            number for one that watches only if the state is stale.
-        """
-        membership = self.peers.membership
-        if membership.generation != self.elected_generation:
-            self.elected_generation = membership.generation
-            own_record = membership.own_record
-            elected = elect(
-                membership.list_serving(),
-                own_record.region,
-                ROLE_STORE_WATCHER,
-                MAX_WATCHERS,
-            )
-            self.watch_position = (
-                elected.index(own_record.name)
-                if own_record.name in elected
-                else MAX_WATCHERS
-            )
-        return self.watch_position
-
     def _should_watch(self, now_s: float) -> bool:
         """Tell whether this instance has to watch the store itself."""
         if not self.complete:
             return True
-        position = self.find_watch_position()
+        position = self.election.find_position()
         if position == 0:
             return True
         return now_s - self.confirmed_s > STALE_S + STALE_STEP_S * position
