Order the store's changes by epoch and revision

Callers were handled by an old configuration for good: after the store returned from a copy, it gave revisions out again, and configuration 16 got the revision that the replica had as its position. A watch from that position succeeded without it.

Replica, feed, messages and client took the revision for unique. They now use positions, which order by epoch and revision: a watch from a position of an earlier epoch counts as lost history, pages of one reading from two epochs are read again, late responses of an earlier epoch are dropped, a condition on a revision of another epoch fails. An instance that reads a new epoch sends its peers all items, since changes from an earlier epoch do not remove what only the receiver knew. Updates of an earlier epoch are dropped, and their sender is told the position. Packed positions of the first epoch equal revisions, so messages keep their shape.

--- a/carawayvale/catalogue/position.py
+++ b/carawayvale/catalogue/position.py
@@ -21,11 +21,16 @@
 
     >>> StorePosition(0, 90).pack() < StorePosition(1, 3).pack()
     True
+    >>> str(StorePosition(1, 3))
+    '1:3'
     """
 
     epoch: int
     revision: int
 
+    def __str__(self):
+        return f"{self.epoch}:{self.revision}"
+
     def pack(self) -> int:
         """Pack the position into one integer.
 
--- a/carawayvale/catalogue/replica.py
+++ b/carawayvale/catalogue/replica.py
@@ -1,10 +1,15 @@
-"""Local replica of the items of a store, updated by revision."""
+"""Local replica of the items of a store, updated by revision.
+
+All revisions are packed positions, see :mod:`carawayvale.catalogue.position`.
+"""
 
 from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
 
+from carawayvale.catalogue.position import find_epoch
+
 
 @dataclass(frozen=True)
 class StoredItem:
@@ -25,7 +30,9 @@
     """Replica of a store: the latest known change of each key.
 
     Changes may arrive in any order; a key never goes back to an earlier
-    revision. Deleted keys are kept with the revision of the deletion.
+    revision. Deleted keys are kept with the revision of the deletion. A
+    snapshot of a later epoch replaces all items of earlier ones, of which
+    no further changes are accepted.
 
     :param items: the latest change of each key.
     :param revision: revision up to which all changes are included.
@@ -66,16 +73,24 @@
         :param revision: revision up to which all changes are included.
         :returns: the changes that were not known.
         """
+        if self._is_outdated(revision):
+            return []
         applied = [item for item in present.values() if self._store(item)]
+        self.revision = max(self.revision, revision)
         for key, known in list(self.items.items()):
-            missing = key not in present and known.value is not None
-            if missing and known.revision <= since:
+            if key in present or known.revision > since:
+                continue
+            if known.value is not None:
                 deleted = StoredItem(key, since, None)
                 self.items[key] = deleted
                 applied.append(deleted)
-        self.revision = max(self.revision, revision)
+            elif self._is_outdated(known.revision):
+                del self.items[key]
         return applied
 
+    def _is_outdated(self, revision: int) -> bool:
+        return find_epoch(revision) < find_epoch(self.revision)
+
     def _store(self, item: StoredItem) -> bool:
         """Store a change unless it is known or outdated.
 
@@ -83,6 +98,8 @@
 
         :returns: whether the change was stored.
         """
+        if self._is_outdated(item.revision):
+            return False
         known = self.items.get(item.key)
         if known is not None:
             older = item.revision < known.revision
@@ -94,6 +111,13 @@
         self.items[item.key] = item
         return True
 
+    def list_present(self) -> list[StoredItem]:
+        """List the items of all keys that are not deleted.
+
+        :returns: the items.
+        """
+        return [i for i in self.items.values() if i.value is not None]
+
     def collect_since(self, revision: int) -> tuple[StoredItem, ...]:
         """Collect the changes after a revision, deletions included.
 
--- a/carawayvale/catalogue/tests/test_builder.py
+++ b/carawayvale/catalogue/tests/test_builder.py
@@ -7,6 +7,7 @@
 
 from carawayvale.catalogue.builder import CatalogueBuilder
 from carawayvale.catalogue.builder import STORE_RETURN_GRACE_S
+from carawayvale.catalogue.position import StorePosition
 from carawayvale.catalogue.records import Configuration
 from carawayvale.catalogue.records import EndpointRecord
 from carawayvale.catalogue.records import EndpointState
@@ -97,6 +98,29 @@
         assert replica.collect_since(1) == (StoredItem("a", 2, None),)
         assert replica.items["a"].value is None
 
+    def test_item_of_an_earlier_epoch_is_not_taken_for_new(self):
+        replica = StoreReplica()
+        later = StorePosition(1, 3).pack()
+        replica.apply_snapshot({"a": StoredItem("a", later, b"x")}, 0, later)
+        old = StorePosition(0, 90).pack()
+        assert replica.apply([StoredItem("b", old, b"old")], old) == []
+        b = {"b": StoredItem("b", old, b"old")}
+        assert replica.apply_snapshot(b, old, old) == []
+        assert replica.revision == later
+        assert replica.list_present() == [StoredItem("a", later, b"x")]
+
+    def test_snapshot_of_a_later_epoch_replaces_items_it_lacks(self):
+        replica = StoreReplica()
+        old = StorePosition(0, 90).pack()
+        lost = [StoredItem("a", old, b"x"), StoredItem("b", old - 1, b"y")]
+        replica.apply([*lost, StoredItem("c", old - 2, None)], old)
+        later = StorePosition(1, 3).pack()
+        present = {"b": StoredItem("b", later, b"y")}
+        changes = replica.apply_snapshot(present, later, later)
+        assert {item.key for item in changes} == {"a", "b"}
+        assert replica.list_present() == [present["b"]]
+        assert all(i.revision >= later for i in replica.items.values())
+
 
 class TestEndpoints:
     def test_a_stale_report_does_not_undo_draining(self):
--- a/carawayvale/gateway/change_feed.py
+++ b/carawayvale/gateway/change_feed.py
@@ -11,12 +11,16 @@
 
 import curio
 
+from carawayvale.catalogue.position import find_epoch
+from carawayvale.catalogue.position import unpack_position
 from carawayvale.catalogue.replica import StoredItem
 from carawayvale.catalogue.replica import StoreReplica
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.feed_peers import FeedPeers
+from carawayvale.gateway.feed_updates import classify_update
 from carawayvale.gateway.feed_updates import pack_items
 from carawayvale.gateway.feed_updates import unpack_items
+from carawayvale.gateway.feed_updates import UpdateKind
 from carawayvale.gateway.watcher_election import WatcherElection
 from carawayvale.links.feed_messages import FeedRequest
 from carawayvale.links.feed_messages import FeedUpdate
@@ -131,11 +135,11 @@
     async def _watch_once(self) -> None:
         """Read changes from the store, or all items, and publish them."""
         start_s = read_boot_clock()
-        first_reading = self.replica.revision == 0
+        before = self.replica.revision
         if not self.complete:
             reading = await self.store.read_all("")
             changed = self.replica.apply_snapshot(
-                reading.items, reading.since, reading.revision
+                reading.items, reading.revision, reading.revision
             )
             self._log_ignored(reading.items.values())
             self.complete = True
@@ -146,9 +150,12 @@
             changed = self.replica.apply(changes.items, changes.revision)
         now_s = read_boot_clock()
         to_publish = await self._apply(changed, now_s)
-        if first_reading:
+        if before == 0:
             # Peers read the store themselves, or request what they lack.
             self.published_revision, to_publish = self.replica.revision, []
+        elif find_epoch(before) < find_epoch(self.replica.revision):
+            self.published_revision = 0
+            to_publish = self.replica.list_present()
         if to_publish or now_s - self.published_s >= CONFIRM_INTERVAL_S:
             await self._publish(to_publish)
         await curio.sleep(max(0.0, BATCH_S - (now_s - start_s)))
@@ -156,14 +163,14 @@
     def _log_ignored(self, items: Iterable[StoredItem]) -> None:
         """Log the items of a reading that the replica did not accept."""
         for item in items:
-            known = self.replica.items[item.key]
+            known = self.replica.items.get(item.key, item)
             if known.value != item.value:
                 log_event(
                     "item_ignored",
                     "WARNING",
                     key=item.key,
-                    revision=item.revision,
-                    known=known.revision,
+                    revision=unpack_position(item.revision),
+                    known=unpack_position(known.revision),
                 )
 
     async def _apply(
@@ -239,21 +246,26 @@
         peer, and the replica keeps its revision. An update of all
         changes since revision 0 makes the replica complete. Unless the
         instances of the region form a full mesh, an update that is new
-        here is sent on to them.
+        here is sent on to them. An update of an earlier epoch is dropped,
+        and the peer is told the revision of this replica.
 
         :param link: link with the peer.
         :param update: the changes.
         """
         now_s = read_boot_clock()
+        self.store.record_epoch(find_epoch(update.revision), link.peer.name)
+        kind = classify_update(update, self.replica.revision)
+        if kind is UpdateKind.OUTDATED:
+            await self._reply_to_outdated(link, update, now_s)
+            return
         self.feed_peers.record_update(
             link.peer.name,
             update.revision,
             self.replica.revision,
             bool(update.items),
         )
-        gap = update.since > self.replica.revision
-        revision = self.replica.revision if gap else update.revision
-        changed = self.replica.apply(unpack_items(update.items), revision)
+        changed = self._apply_to_replica(update, kind)
+        gap = kind is UpdateKind.GAP
         if gap:
             await self._request_missing(link, now_s)
         else:
@@ -267,6 +279,34 @@
         if (changed or newer) and not self.peers.membership.is_full_mesh:
             await self._send_update(update, link.peer.name)
 
+    def _apply_to_replica(
+        self, update: FeedUpdate, kind: UpdateKind
+    ) -> list[StoredItem]:
+        items = unpack_items(update.items)
+        if kind is UpdateKind.SNAPSHOT:
+            present = {i.key: i for i in items if i.value is not None}
+            return self.replica.apply_snapshot(
+                present, update.revision, update.revision
+            )
+        is_gap = kind is UpdateKind.GAP
+        revision = self.replica.revision if is_gap else update.revision
+        return self.replica.apply(items, revision)
+
+    async def _reply_to_outdated(
+        self, link: PeerLink, update: FeedUpdate, now_s: float
+    ) -> None:
+        """Tell a peer that missed the store's return the own revision."""
+        revision = self.replica.revision
+        log_event(
+            "update_outdated",
+            "WARNING",
+            peer=link.peer.name,
+            revision=unpack_position(update.revision),
+            known=unpack_position(revision),
+        )
+        age_s = max(0.0, now_s - self.confirmed_s)
+        await link.post(FeedUpdate(revision, revision, age_s, ()))
+
     async def _request_missing(self, link: PeerLink, now_s: float) -> None:
         """Request the changes after the replica's revision from a peer."""
         if now_s - self.requested_s < MIN_REQUEST_INTERVAL_S:
@@ -283,11 +323,15 @@
         self.feed_peers.record_request(link.peer.name)
         if not self.complete:
             return
-        items = self.replica.collect_since(request.after)
+        is_same_epoch = find_epoch(request.after) == find_epoch(
+            self.replica.revision
+        )
+        after = request.after if is_same_epoch else 0
+        items = self.replica.collect_since(after)
         age_s = max(0.0, read_boot_clock() - self.confirmed_s)
         await link.post(
             FeedUpdate(
-                request.after,
+                after,
                 self.replica.revision,
                 age_s,
                 pack_items(items),
--- a/carawayvale/links/feed_messages.py
+++ b/carawayvale/links/feed_messages.py
@@ -1,4 +1,8 @@
-"""Messages of the change feed between instances."""
+"""Messages of the change feed between instances.
+
+All revisions are packed positions of the store, see
+:mod:`carawayvale.catalogue.position`.
+"""
 
 from dataclasses import dataclass
 
@@ -27,7 +31,8 @@
 class FeedUpdate:
     """All changes in the store between two revisions.
 
-    :param since: revision after which the changes begin.
+    :param since: revision after which the changes begin; 0 if the update
+        has all items.
     :param revision: revision up to which the changes are complete.
     :param age_s: seconds since the store confirmed the revision.
     :param items: the changed keys.
@@ -42,7 +47,11 @@
 @register_message(15)
 @dataclass(frozen=True)
 class FeedRequest:
-    """Request to a peer for all changes after a revision."""
+    """Request to a peer for all changes after a revision.
+
+    :param after: the revision; the peer sends all items if it is of an
+        earlier epoch than the peer's.
+    """
 
     after: int
 
--- a/carawayvale/platform/store_client.py
+++ b/carawayvale/platform/store_client.py
@@ -8,6 +8,8 @@
 
 import curio
 
+from carawayvale.catalogue.position import StorePosition
+from carawayvale.catalogue.position import unpack_position
 from carawayvale.catalogue.replica import StoredItem
 from carawayvale.contracts.address import Address
 from carawayvale.links.connections import ConnectionPool
@@ -19,7 +21,11 @@
 from carawayvale.platform.values import read_field
 from carawayvale.telemetry.logs import log_event
 
+# The header counts epochs from this number. The first epoch here is 0, in
+# which packed positions equal revisions, as in messages of gateways that
+# know no epochs.
 EPOCH_HEADER = b"store-era"
+FIRST_EPOCH = 1
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
@@ -44,17 +50,53 @@
     """The store has no such lease, for example after its expiry."""
 
 
+@dataclass(frozen=True)
+class StoreResponse:
+    """A response from the store.
+
+    :param status: HTTP status.
+    :param content: body, decoded from JSON; None without success.
+    :param epoch: epoch of the store in which it was sent.
+    """
+
+    status: int
+    content: Any
+    epoch: int
+
+    def read_position(self) -> StorePosition:
+        """Read the position of the store at the response.
+
+        :returns: the position.
+        :raises StoreFailed: if the revision is missing.
+        """
+        revision = read_response_field(self.content, "store_revision", int)
+        return StorePosition(self.epoch, revision)
+
+
+@dataclass(frozen=True)
+class ItemPage:
+    """One page of a reading.
+
+    :param items: the items.
+    :param position: position of the store at the response.
+    :param has_more: whether further items follow.
+    """
+
+    items: tuple[StoredItem, ...]
+    position: StorePosition
+    has_more: bool
+
+
 @dataclass(frozen=True)
 class PrefixItems:
     """All items whose keys start with a prefix.
 
     :param items: items by key.
-    :param since: revision of the first page that was read.
-    :param revision: revision after which to watch for changes.
+    :param revision: position of the first page that was read, after which
+        to watch for changes.
     """
 
     items: dict[str, StoredItem]
-    since: int
     revision: int
 
 
@@ -63,7 +105,7 @@
     """Changes after a revision.
 
     :param items: the changes in the order in which they were made.
-    :param revision: revision after which to watch for further changes.
+    :param revision: position after which to watch for further changes.
     """
 
     items: tuple[StoredItem, ...]
@@ -109,51 +151,60 @@
         :returns: the items.
         :raises StoreFailed: if the store sends no usable response.
         """
-        items: dict[str, StoredItem] = {}
-        since = None
-        after = ""
-        while True:
-            target = f"/kv-range?prefix={quote(prefix, safe='')}"
-            if after:
-                target += f"&after={quote(after, safe='')}"
-            page = await self._expect_ok("GET", target)
-            revision = read_response_field(page, "store_revision", int)
-            since = revision if since is None else since
-            for row in read_response_field(page, "items", list):
-                item = decode_item(row)
-                items[item.key] = item
-                after = item.key
-            if not read_response_field(page, "has_more", bool):
-                # A change made between two pages may be missing, so the
-                # watch has to start at the revision of the first page.
-                return PrefixItems(items, since, since)
+        first = page = await self._read_page(prefix, "")
+        items = {item.key: item for item in page.items}
+        while page.has_more:
+            page = await self._read_page(prefix, page.items[-1].key)
+            if page.position.epoch != first.position.epoch:
+                # The store returned from a copy, so the reading starts anew.
+                first, items = await self._read_page(prefix, ""), {}
+                page = first
+            items.update((item.key, item) for item in page.items)
+        # A change made between two pages may be missing, so the watch has
+        # to start at the position of the first page.
+        return PrefixItems(items, first.position.pack())
+
+    async def _read_page(self, prefix: str, after: str) -> ItemPage:
+        target = f"/kv-range?prefix={quote(prefix, safe='')}"
+        if after:
+            target += f"&after={quote(after, safe='')}"
+        response = await self._expect_ok("GET", target)
+        rows = read_response_field(response.content, "items", list)
+        items = tuple(decode_item(row, response.epoch) for row in rows)
+        more = read_response_field(response.content, "has_more", bool)
+        return ItemPage(items, response.read_position(), bool(items) and more)
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
         """Wait for changes of the items with a prefix.
 
         :param prefix: prefix of the keys; empty for all items.
-        :param after: revision after which changes are returned.
+        :param after: packed position after which changes are returned.
         :param wait_s: longest wait in seconds.
         :returns: the changes; no changes if none came during the wait.
-        :raises HistoryGone: if the store no longer keeps the changes.
+        :raises HistoryGone: if the store no longer keeps the changes, or
+            the position belongs to an earlier epoch. The store would
+            respond without the changes up to the same revision.
         :raises StoreFailed: if the store sends no usable response.
         """
+        position = unpack_position(after)
+        if position.epoch < self.epoch:
+            raise HistoryGone(f"{position} is in an earlier epoch")
         target = (
-            f"/kv-watch?prefix={quote(prefix, safe='')}&after={after}"
-            f"&wait_ms={int(wait_s * MS_PER_S)}"
+            f"/kv-watch?prefix={quote(prefix, safe='')}"
+            f"&after={position.revision}&wait_ms={int(wait_s * MS_PER_S)}"
         )
-        status, content = await self._call(
+        response = await self._call(
             "GET", target, None, wait_s + WATCH_TIMEOUT_MARGIN_S
         )
-        if status == HTTP_GONE:
-            raise HistoryGone(f"changes after {after} are gone")
-        if status != HTTP_OK:
-            raise StoreFailed(f"{self.address}: watch: status {status}")
-        events = read_response_field(content, "events", list)
-        items = tuple(decode_item(row) for row in events)
-        return Changes(
-            items, read_response_field(content, "store_revision", int)
-        )
+        if response.status == HTTP_GONE or response.epoch > position.epoch:
+            raise HistoryGone(f"changes after {position} are gone")
+        if response.status != HTTP_OK:
+            raise StoreFailed(
+                f"{self.address}: watch: status {response.status}"
+            )
+        events = read_response_field(response.content, "events", list)
+        items = tuple(decode_item(row, response.epoch) for row in events)
+        return Changes(items, response.read_position().pack())
 
     async def open_lease(self, ttl_s: float) -> int:
         """Open a lease.
@@ -163,8 +214,8 @@
         :raises StoreFailed: if the store sends no usable response.
         """
         body = {"ttl_time": f"{int(ttl_s * MS_PER_S)}ms"}
-        content = await self._expect_ok("POST", "/kv-lease", body)
-        return read_response_field(content, "lease", int)
+        response = await self._expect_ok("POST", "/kv-lease", body)
+        return read_response_field(response.content, "lease", int)
 
     async def renew_lease(self, lease: int) -> float:
         """Renew a lease.
@@ -174,22 +225,28 @@
         :raises LeaseEnded: if the lease has expired.
         :raises StoreFailed: if the store sends no usable response.
         """
-        status, content = await self._call("POST", f"/kv-keep/{lease}")
-        if status == HTTP_NOT_FOUND:
+        response = await self._call("POST", f"/kv-keep/{lease}")
+        if response.status == HTTP_NOT_FOUND:
             raise LeaseEnded(str(lease))
-        if status != HTTP_OK:
-            raise StoreFailed(f"{self.address}: renewal: status {status}")
-        return parse_duration(read_response_field(content, "ttl_time", str))
+        if response.status != HTTP_OK:
+            raise StoreFailed(
+                f"{self.address}: renewal: status {response.status}"
+            )
+        return parse_duration(
+            read_response_field(response.content, "ttl_time", str)
+        )
 
     async def write(self, write: Write, expected: int | None = None) -> bool:
         """Write a value.
 
         :param write: the key, the value and the lease.
-        :param expected: revision that the key must have; None for any.
+        :param expected: packed position that the key must have; 0 if it
+            must not exist, None for any.
         :returns: whether the value was written. It was not if the key has
-            another revision than expected.
+            another position than expected.
         :raises LeaseEnded: if the lease has expired.
-        :raises StoreFailed: if the store sends no usable response.
+        :raises StoreFailed: if the store sends no usable response, or
+            returned from a copy since the expected position.
         """
         row = {
             "key": write.key,
@@ -197,25 +254,34 @@
             "lease": write.lease,
         }
         conditions = []
+        position = unpack_position(expected or 0)
+        if position.revision and position.epoch != self.epoch:
+            return False
         if expected is not None:
-            conditions = [{"key": write.key, "rev": expected}]
+            conditions = [{"key": write.key, "rev": position.revision}]
         body = {"expected": conditions, "writes": [row], "deletes": []}
-        status, _ = await self._call("POST", "/kv-txn", body)
-        if status == HTTP_PRECONDITION_FAILED:
+        response = await self._call("POST", "/kv-txn", body)
+        if response.status == HTTP_PRECONDITION_FAILED:
             return False
-        if status == HTTP_NOT_FOUND:
+        if response.status == HTTP_NOT_FOUND:
             raise LeaseEnded(str(write.lease))
-        if status != HTTP_OK:
-            raise StoreFailed(f"{self.address}: write: status {status}")
+        if response.status != HTTP_OK:
+            raise StoreFailed(
+                f"{self.address}: write: status {response.status}"
+            )
+        if position.revision and response.epoch != position.epoch:
+            raise StoreFailed(f"{self.address}: returned during a write")
         return True
 
     async def _expect_ok(
         self, method: str, target: str, body: Any = None
-    ) -> Any:
-        status, content = await self._call(method, target, body)
-        if status != HTTP_OK:
-            raise StoreFailed(f"{self.address}: {target}: status {status}")
-        return content
+    ) -> StoreResponse:
+        response = await self._call(method, target, body)
+        if response.status != HTTP_OK:
+            raise StoreFailed(
+                f"{self.address}: {target}: status {response.status}"
+            )
+        return response
 
     async def _call(
         self,
@@ -223,7 +289,7 @@
         target: str,
         body: Any = None,
         timeout_s: float | None = None,
-    ) -> tuple[int, Any]:
+    ) -> StoreResponse:
         headers = [self.host]
         data = b""
         if body is not None:
@@ -239,37 +305,42 @@
             # Other pooled connections to an unreachable store may hang too.
             await self.pool.close()
             raise StoreFailed(f"{self.address}: {error!r}") from None
-        self._record_epoch(read_epoch(response.head))
-        if response.head.status != HTTP_OK:
-            return response.head.status, None
+        epoch = read_epoch(response.head)
+        if epoch < self.epoch:
+            log_event(
+                "store_response_outdated",
+                "WARNING",
+                epoch=epoch,
+                known=self.epoch,
+            )
+            raise StoreFailed(f"{self.address}: response of an earlier epoch")
+        self.record_epoch(epoch, "store")
+        status = response.head.status
+        if status != HTTP_OK:
+            return StoreResponse(status, None, epoch)
         try:
-            return HTTP_OK, json.loads(response.body)
+            return StoreResponse(status, json.loads(response.body), epoch)
         except ValueError as error:
             raise StoreFailed(f"{self.address}: {error}") from None
 
-    def _record_epoch(self, epoch: int) -> None:
+    def record_epoch(self, epoch: int, source: str) -> None:
+        """Record an epoch of the store; the latest known one never falls.
+
+        :param epoch: the epoch.
+        :param source: who stated it: the store, or the name of a peer.
+        """
         if epoch > self.epoch:
             log_event(
-                "store_epoch",
-                epoch=epoch,
-                known=self.epoch,
-                source="store",
+                "store_epoch", epoch=epoch, known=self.epoch, source=source
             )
             self.epoch = epoch
-        elif epoch < self.epoch:
-            log_event(
-                "store_response_outdated",
-                "WARNING",
-                epoch=epoch,
-                known=self.epoch,
-            )
 
 
 def read_epoch(head: ResponseHead) -> int:
     """Read the epoch of the store in which a response was sent.
 
     :param head: head of the response.
-    :returns: the epoch; 0 for a response that states none.
+    :returns: the epoch; the first one for a response that states none.
     :raises StoreFailed: if the header is not a number.
     """
     text = head.find(EPOCH_HEADER)
@@ -277,7 +348,7 @@
         return 0
     if not text.isdigit():
         raise StoreFailed(f"malformed epoch {text!r}")
-    return int(text)
+    return max(0, int(text) - FIRST_EPOCH)
 
 
 def read_response_field(content: Any, name: str, value_type: type) -> Any:
@@ -295,16 +366,18 @@
         raise StoreFailed(f"malformed response: {error}") from None
 
 
-def decode_item(row: Any) -> StoredItem:
+def decode_item(row: Any, epoch: int = 0) -> StoredItem:
     """Decode an item or the deletion of an item.
 
     :param row: the table that the store sent for the item.
+    :param epoch: epoch of the store in which it was sent.
     :returns: the item. A value that is not base64 becomes empty, which the
         decoders of configurations, endpoints and instances reject.
     :raises StoreFailed: if the key or the revision is missing.
     """
     key = read_response_field(row, "key", str)
-    revision = read_response_field(row, "rev", int)
+    number = read_response_field(row, "rev", int)
+    revision = StorePosition(epoch, number).pack()
     if row.get("tombstone"):
         return StoredItem(key, revision, None)
     try:
