Decide by its version whether a configuration is newer

After the store returned from a copy, the copy's configuration came into force at a later position although a newer version had been in force: requests would get 404 on routes that had been added. The builder compared positions; it now compares versions. Peers get each configuration that the store has, also one that this instance ignores: a peer that started after the return may know only the copy's.

--- a/carawayvale/catalogue/builder.py
+++ b/carawayvale/catalogue/builder.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from dataclasses import replace
 
+from carawayvale.catalogue.position import unpack_position
 from carawayvale.catalogue.records import Catalogue
 from carawayvale.catalogue.records import Configuration
 from carawayvale.catalogue.records import EMPTY_CATALOGUE
@@ -124,7 +125,7 @@
                 "item_refused",
                 "WARNING",
                 key=item.key,
-                revision=item.revision,
+                revision=unpack_position(item.revision),
                 cause=str(error),
             )
             update = self._replace_unreadable(item)
@@ -142,25 +143,30 @@
     def _apply_configuration(
         self, update: ConfigurationUpdate, now_s: float
     ) -> bool:
-        """Put a newer configuration in force; a removal is only logged."""
+        """Put a newer version in force; a removal is only logged.
+
+        The version decides, as a store that returned from a copy has an
+        older one at a later position. Peers get each configuration, since
+        they may know less than this instance.
+        """
         new, old = update.configuration, self.configuration
         if new is None:
             log_event("configuration_removed", "WARNING")
             return False
-        if old is not None and new.revision <= old.revision:
+        if old is not None and new.version <= old.version:
             log_event(
                 "configuration_ignored",
                 version=new.version,
-                revision=new.revision,
+                revision=unpack_position(new.revision),
                 known=old.version,
             )
-            return False
+            return True
         self.configuration = new
         self.changed = True
         log_event(
             "configuration_in_force",
             version=new.version,
-            revision=new.revision,
+            revision=unpack_position(new.revision),
             routes=len(new.routes),
         )
         return True
@@ -197,7 +203,7 @@
                 service=new.service,
                 domain=new.domain,
                 state=new.state.value,
-                revision=new.revision,
+                revision=unpack_position(new.revision),
             )
         return True
 
--- a/carawayvale/catalogue/tests/test_builder.py
+++ b/carawayvale/catalogue/tests/test_builder.py
@@ -240,6 +240,24 @@
         catalogue.apply(ConfigurationUpdate(old), 1.0, "op/config")
         assert catalogue.builder.take_catalogue().configuration is new
 
+    def test_version_in_force_does_not_go_back_at_a_later_revision(self):
+        catalogue = CatalogueFixture()
+        new = Configuration(9, 20, (), {})
+        catalogue.apply(ConfigurationUpdate(new), 1.0, "op/config")
+        later = StorePosition(1, 10).pack()
+        old = Configuration(8, later, (), {})
+        catalogue.apply(ConfigurationUpdate(old), 1.0, "op/config")
+        assert catalogue.builder.take_catalogue().configuration is new
+
+    def test_configuration_written_again_is_sent_to_peers(self):
+        """A peer that started after the return knows only the copy's."""
+        builder = CatalogueBuilder(source := FakeSource())
+        for revision, version in ((5, 9), (6, 8), (7, 9)):
+            new = Configuration(version, revision, (), {})
+            source.updates[revision] = ConfigurationUpdate(new)
+            item = StoredItem("op/config", revision, b"")
+            assert builder.apply([item], 1.0) == [item]
+
     def test_an_unreadable_configuration_keeps_the_last_valid_one(self):
         catalogue = CatalogueFixture()
         good = Configuration(9, 20, (), {})
