Do not list an endpoint again by its entry in a copy of the store

An endpoint that had left came back with the copy from which the store returned, with the sequence that was known at its removal, and got requests again. A removal is now remembered with its epoch; in a later epoch only a report with a higher sequence, or of a later process, lists the endpoint again.

--- a/carawayvale/catalogue/builder.py
+++ b/carawayvale/catalogue/builder.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from dataclasses import replace
 
+from carawayvale.catalogue.position import find_epoch
 from carawayvale.catalogue.position import unpack_position
 from carawayvale.catalogue.records import Catalogue
 from carawayvale.catalogue.records import Configuration
@@ -38,19 +39,28 @@
 
     :param started_ms: start of the endpoint's process.
     :param sequence: number of the report, counted from that start.
+    :param removed_epoch: epoch of the store in which the entry was removed
+        after this report; None if it is present.
     """
 
     started_ms: int
     sequence: int
+    removed_epoch: int | None = None
 
     def accepts(self, endpoint: EndpointRecord) -> bool:
         """Tell whether a report is at least as new as this version.
 
+        A removed entry that is back in a later epoch may come from the
+        copy, so only a newer report lists its endpoint again.
+
         :param endpoint: the report.
         :returns: whether it may replace the known report.
         """
         if endpoint.started_ms != self.started_ms:
             return endpoint.started_ms > self.started_ms
+        removed = self.removed_epoch is not None
+        if removed and find_epoch(endpoint.revision) > self.removed_epoch:
+            return endpoint.sequence > self.sequence
         return endpoint.sequence >= self.sequence
 
 
@@ -222,6 +232,9 @@
     def _remove_endpoint(self, name: str) -> None:
         del self.endpoints[name]
         self.grace_until_s.pop(name, None)
+        self.report_versions[name] = replace(
+            self.report_versions[name], removed_epoch=find_epoch(self.revision)
+        )
         self.changed = True
         log_event("endpoint_gone", endpoint=name)
 
--- a/carawayvale/catalogue/tests/test_builder.py
+++ b/carawayvale/catalogue/tests/test_builder.py
@@ -139,6 +139,25 @@
         catalogue.apply(EndpointUpdate("i-1", ENDPOINT), 2.1)
         assert catalogue.endpoints == {}
 
+    def test_endpoint_that_left_is_not_listed_again_by_a_copy(self):
+        catalogue = CatalogueFixture()
+        catalogue.apply(EndpointUpdate("i-1", ENDPOINT), 1.0)
+        catalogue.apply(EndpointUpdate("i-1", None), 2.0)
+        in_copy = replace(ENDPOINT, revision=StorePosition(1, 1).pack())
+        catalogue.apply(EndpointUpdate("i-1", in_copy), 3.0)
+        assert catalogue.endpoints == {}
+        report = replace(in_copy, sequence=ENDPOINT.sequence + 1)
+        catalogue.apply(EndpointUpdate("i-1", report), 4.0)
+        assert "i-1" in catalogue.endpoints
+
+    def test_draining_is_not_undone_by_a_copy(self):
+        catalogue = CatalogueFixture()
+        draining = replace(ENDPOINT, sequence=6, state=EndpointState.DRAINING)
+        catalogue.apply(EndpointUpdate("i-1", draining), 1.0)
+        in_copy = replace(ENDPOINT, revision=StorePosition(1, 1).pack())
+        catalogue.apply(EndpointUpdate("i-1", in_copy), 3.0)
+        assert catalogue.endpoints["i-1"].is_draining
+
     def test_a_restart_under_the_same_name_resets_the_sequence(self):
         catalogue = CatalogueFixture()
         catalogue.apply(
