Grant entries that a copy of the store lacks the grace period

After the store returned from a copy, endpoints that had registered later than the copy were dropped at once if the store had been away for less than the threshold of an outage, though they write their entries again within about two seconds. A new epoch now counts as the store's return. A report that follows an outdated entry of the copy is sent to peers also if nothing but its number changed here, since a peer that started after the return knows only the copy's entry.

--- a/carawayvale/catalogue/builder.py
+++ b/carawayvale/catalogue/builder.py
@@ -22,7 +22,8 @@
 from carawayvale.telemetry.logs import log_event
 
 # The platform guarantees that entries which expired during an outage of
-# the store are written again within about two seconds of its return.
+# the store, or which a copy lacks from which it returned, are written again
+# within about two seconds of its return.
 STORE_RETURN_GRACE_S = 2.2
 
 # Ends of the same cold period, as computed from two reports, differ by
@@ -97,6 +98,7 @@
         self.report_versions: dict[str, ReportVersion] = {}
         self.evacuated: set[str] = set()
         self.instances: dict[str, Address] = {}
+        self.outdated_entries: set[str] = set()
         self.grace_until_s: dict[str, float] = {}
         self.store_returned_s = float("-inf")
         self.confirmed_s = float("-inf")
@@ -127,7 +129,7 @@
         return [item for item in items if self._apply_item(item, now_s)]
 
     def _apply_item(self, item: StoredItem, now_s: float) -> bool:
-        self.revision = max(self.revision, item.revision)
+        self._record_revision(item.revision, now_s)
         try:
             update = self.source.decode(item)
         except ValueError as error:
@@ -143,6 +145,13 @@
             return False
         return UPDATE_HANDLERS[type(update)](self, update, now_s)
 
+    def _record_revision(self, revision: int, now_s: float) -> None:
+        """Record a revision, and with a new epoch the store's return."""
+        is_restored = find_epoch(revision) > find_epoch(self.revision)
+        if is_restored and self.revision:
+            self.store_returned_s = now_s
+        self.revision = max(self.revision, revision)
+
     def _replace_unreadable(self, item: StoredItem) -> CatalogueUpdate | None:
         """Treat an unreadable entry of a known endpoint as its removal."""
         known = self.endpoints.get(item.key.rpartition("/")[2])
@@ -193,18 +202,21 @@
                 sequence=new.sequence,
                 known=version.sequence,
             )
+            self.outdated_entries.add(new.name)
             return False
         self.report_versions[new.name] = ReportVersion(
             new.started_ms, new.sequence
         )
         had_expired = self.grace_until_s.pop(new.name, None) is not None
+        was_outdated = new.name in self.outdated_entries
+        self.outdated_entries.discard(new.name)
         old = self.endpoints.get(new.name)
         new = replace(new, received_s=now_s)
         self.endpoints[new.name] = new
         if old is not None and is_heartbeat(old, new):
-            # Peers know that the entry expired, so they must learn that it
-            # was written again.
-            return had_expired
+            # Peers know that the entry expired, or know only the outdated
+            # one, so they must learn that it was written again.
+            return had_expired or was_outdated
         self.changed = True
         if old is None or old.state is not new.state:
             log_event(
@@ -232,6 +244,7 @@
     def _remove_endpoint(self, name: str) -> None:
         del self.endpoints[name]
         self.grace_until_s.pop(name, None)
+        self.outdated_entries.discard(name)
         self.report_versions[name] = replace(
             self.report_versions[name], removed_epoch=find_epoch(self.revision)
         )
--- a/carawayvale/catalogue/tests/test_builder.py
+++ b/carawayvale/catalogue/tests/test_builder.py
@@ -250,6 +250,42 @@
         assert catalogue.endpoints == {}
 
 
+class TestReturnFromCopy:
+    """The store was away for less than the threshold of an outage."""
+
+    def make_catalogue(self):
+        catalogue = CatalogueFixture()
+        catalogue.builder.record_confirmation(10.0)
+        catalogue.apply(EndpointUpdate("i-1", ENDPOINT), 10.0)
+        catalogue.builder.record_confirmation(10.5)
+        catalogue.revision = StorePosition(1, 0).pack()
+        return catalogue
+
+    def test_entry_that_the_copy_lacks_is_kept_for_the_grace_period(self):
+        catalogue = self.make_catalogue()
+        catalogue.apply(EndpointUpdate("i-1", None), 10.5)
+        catalogue.builder.drop_expired(10.4 + STORE_RETURN_GRACE_S)
+        assert "i-1" in catalogue.endpoints
+        catalogue.builder.drop_expired(10.5 + STORE_RETURN_GRACE_S)
+        assert catalogue.endpoints == {}
+
+    def test_report_after_an_outdated_one_of_the_copy_is_sent_to_peers(self):
+        """A peer that started after the return knows only the copy's."""
+        catalogue = self.make_catalogue()
+        source, builder = catalogue.source, catalogue.builder
+        source.updates[catalogue.revision] = EndpointUpdate(
+            "i-1", replace(ENDPOINT, sequence=2)
+        )
+        source.updates[catalogue.revision + 1] = EndpointUpdate(
+            "i-1", replace(ENDPOINT, sequence=5)
+        )
+        items = [
+            StoredItem("servers/i-1", catalogue.revision + n, b"")
+            for n in (0, 1)
+        ]
+        assert items[1] in builder.apply(items, 10.6)
+
+
 class TestConfiguration:
     def test_an_older_revision_is_ignored(self):
         catalogue = CatalogueFixture()
