Keep evacuations that a copy of the store lacks for the grace period

After the store returned from a copy, an evacuation that was ordered later than the copy ended at once, though nobody had taken it back; endpoints of the evacuated domain got requests until the operators wrote it again. It now stays in force for the grace period of a returned store. Without a return from a copy, an evacuation ends at once as before.

--- a/carawayvale/catalogue/builder.py
+++ b/carawayvale/catalogue/builder.py
@@ -101,6 +101,8 @@
         self.outdated_entries: set[str] = set()
         self.grace_until_s: dict[str, float] = {}
         self.store_returned_s = float("-inf")
+        self.restored_s = float("-inf")
+        self.evacuation_ends_s: dict[str, float] = {}
         self.confirmed_s = float("-inf")
         self.revision = 0
         self.changed = False
@@ -149,7 +151,7 @@
         """Record a revision, and with a new epoch the store's return."""
         is_restored = find_epoch(revision) > find_epoch(self.revision)
         if is_restored and self.revision:
-            self.store_returned_s = now_s
+            self.store_returned_s = self.restored_s = now_s
         self.revision = max(self.revision, revision)
 
     def _replace_unreadable(self, item: StoredItem) -> CatalogueUpdate | None:
@@ -254,14 +256,30 @@
     def _apply_evacuation(
         self, update: EvacuationUpdate, now_s: float
     ) -> bool:
-        change_evacuated = (
-            self.evacuated.add if update.wanted else (self.evacuated.discard)
-        )
-        change_evacuated(update.domain)
-        self.changed = True
-        log_event("evacuation", domain=update.domain, wanted=update.wanted)
+        """Start or end an evacuation.
+
+        One that the copy lacks from which the store returned was not taken
+        back by the operators, who write it again.
+        """
+        domain = update.domain
+        self.evacuation_ends_s.pop(domain, None)
+        log_event("evacuation", domain=domain, wanted=update.wanted)
+        if update.wanted:
+            self.evacuated.add(domain)
+            self.changed = True
+        elif now_s - self.restored_s < STORE_RETURN_GRACE_S:
+            self.evacuation_ends_s[domain] = (
+                self.restored_s + STORE_RETURN_GRACE_S
+            )
+        else:
+            self._end_evacuation(domain)
         return True
 
+    def _end_evacuation(self, domain: str) -> None:
+        self.evacuation_ends_s.pop(domain, None)
+        self.evacuated.discard(domain)
+        self.changed = True
+
     def _apply_instance(self, update: InstanceUpdate, now_s: float) -> bool:
         if update.peers is None:
             self.instances.pop(update.name, None)
@@ -270,16 +288,19 @@
         return True
 
     def drop_expired(self, now_s: float) -> None:
-        """Remove endpoints whose expired entries were not written again.
+        """Remove entries and evacuations that were not written again.
 
         Entries that expired during an outage of the store have a grace
-        period.
+        period, and so has what a copy lacks from which it returned.
 
         :param now_s: the time.
         """
         for name, until_s in list(self.grace_until_s.items()):
             if now_s >= until_s:
                 self._remove_endpoint(name)
+        for domain, until_s in list(self.evacuation_ends_s.items()):
+            if now_s >= until_s:
+                self._end_evacuation(domain)
 
     def take_catalogue(self) -> Catalogue | None:
         """Take the catalogue if it has changed since the last call.
--- a/carawayvale/catalogue/tests/test_builder.py
+++ b/carawayvale/catalogue/tests/test_builder.py
@@ -285,6 +285,38 @@
         ]
         assert items[1] in builder.apply(items, 10.6)
 
+    def test_evacuation_that_the_copy_lacks_stays_for_the_grace_period(self):
+        catalogue = self.make_catalogue()
+        builder, key = catalogue.builder, "op/evacuate/zrh-a"
+        catalogue.revision = 50
+        catalogue.apply(EvacuationUpdate("zrh-a", True), 10.1, key)
+        catalogue.revision = StorePosition(1, 0).pack()
+        catalogue.apply(EvacuationUpdate("zrh-a", False), 10.5, key)
+        builder.drop_expired(10.4 + STORE_RETURN_GRACE_S)
+        assert builder.take_catalogue().evacuated == {"zrh-a"}
+        builder.drop_expired(10.5 + STORE_RETURN_GRACE_S)
+        assert builder.take_catalogue().evacuated == frozenset()
+
+    def test_evacuation_that_is_written_again_stays(self):
+        catalogue = self.make_catalogue()
+        builder, key = catalogue.builder, "op/evacuate/zrh-a"
+        catalogue.revision = 50
+        catalogue.apply(EvacuationUpdate("zrh-a", True), 10.1, key)
+        catalogue.revision = StorePosition(1, 0).pack()
+        catalogue.apply(EvacuationUpdate("zrh-a", False), 10.5, key)
+        catalogue.apply(EvacuationUpdate("zrh-a", True), 11.5, key)
+        builder.drop_expired(10.5 + STORE_RETURN_GRACE_S)
+        assert builder.take_catalogue().evacuated == {"zrh-a"}
+
+    def test_evacuation_ends_at_once_without_a_return_from_a_copy(self):
+        catalogue = CatalogueFixture()
+        builder, key = catalogue.builder, "op/evacuate/zrh-a"
+        builder.record_confirmation(10.0)
+        catalogue.apply(EvacuationUpdate("zrh-a", True), 10.1, key)
+        builder.record_confirmation(15.0)
+        catalogue.apply(EvacuationUpdate("zrh-a", False), 15.0, key)
+        assert builder.take_catalogue().evacuated == frozenset()
+
 
 class TestConfiguration:
     def test_an_older_revision_is_ignored(self):
