Bind a lease to its epoch and register again at the store's return

After the store returned from a copy, an instance noticed up to five seconds later that its entry was gone, and never if another instance had got its lease number, since the renewal succeeded. A lease now belongs to its epoch: renewing it or writing with it in another one raises LeaseEnded. News of a new epoch, from the store or a peer, ends the wait for the next renewal, within 0.2 s and a random delay of up to 0.5 s.

The test of malformed responses passes a lease in place of its number.

--- a/carawayvale/gateway/registration.py
+++ b/carawayvale/gateway/registration.py
@@ -1,10 +1,14 @@
 """Register this instance in the store for discovery by others."""
 
+import random
+
 import curio
 
+from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.settings import GatewaySettings
 from carawayvale.platform.source import encode_instance
 from carawayvale.platform.source import INSTANCES_PREFIX
+from carawayvale.platform.store_client import Lease
 from carawayvale.platform.store_client import LeaseEnded
 from carawayvale.platform.store_client import StoreClient
 from carawayvale.platform.store_client import StoreFailed
@@ -15,6 +19,10 @@
 RENEW_INTERVAL_S = 5.0
 # Pause after a failed call to the store.
 RETRY_S = 2.0
+POLL_S = 0.2
+# Longest random delay before the instances register again after the store
+# returned from a copy.
+SPREAD_S = 0.5
 
 
 class Registration:
@@ -27,23 +35,33 @@
     def __init__(self, store: StoreClient, settings: GatewaySettings):
         self.store = store
         self.settings = settings
-        self.lease = 0
+        self.lease: Lease | None = None
 
     async def run(self) -> None:
         """Register the instance and renew its lease until cancelled."""
         while True:
             try:
                 await self._register_or_renew()
-                await curio.sleep(RENEW_INTERVAL_S)
-            except LeaseEnded:
-                log_event("lease_ended", "WARNING", lease=self.lease)
-                self.lease = 0
+                await self._wait(RENEW_INTERVAL_S)
+            except LeaseEnded as error:
+                log_event("lease_ended", "WARNING", cause=str(error))
+                self.lease = None
             except StoreFailed as error:
                 log_event("lease_not_renewed", "WARNING", cause=str(error))
-                await curio.sleep(RETRY_S)
+                await self._wait(RETRY_S)
+
+    async def _wait(self, wait_s: float) -> None:
+        """Wait, or until the store returns from a copy without the lease."""
+        epoch = self.lease.epoch if self.lease else self.store.epoch
+        until_s = read_boot_clock() + wait_s
+        while read_boot_clock() < until_s:
+            if self.store.epoch > epoch:
+                await curio.sleep(random.uniform(0.0, SPREAD_S))
+                return
+            await curio.sleep(POLL_S)
 
     async def _register_or_renew(self) -> None:
-        if self.lease:
+        if self.lease is not None:
             await self.store.renew_lease(self.lease)
             return
         lease = await self.store.open_lease(LEASE_TTL_S)
@@ -51,3 +69,4 @@
         value = encode_instance(self.settings.peers)
         await self.store.write(Write(key, value, lease))
         self.lease = lease
+        log_event("instance_registered", lease=lease.number, epoch=lease.epoch)
--- a/carawayvale/platform/store_client.py
+++ b/carawayvale/platform/store_client.py
@@ -112,19 +112,31 @@
     revision: int
 
 
+@dataclass(frozen=True)
+class Lease:
+    """A lease of the store.
+
+    :param number: number of the lease. After the store returned from a
+        copy, another lease may have it.
+    :param epoch: epoch of the store in which the lease was opened.
+    """
+
+    number: int
+    epoch: int
+
+
 @dataclass(frozen=True)
 class Write:
     """A value to write.
 
     :param key: key of the item.
     :param value: the value.
-    :param lease: number of the lease with which the item expires; 0 if the
-        item does not expire.
+    :param lease: lease with which the item expires; None if it does not.
     """
 
     key: str
     value: bytes
-    lease: int = 0
+    lease: Lease | None = None
 
 
 class StoreClient:
@@ -206,26 +218,30 @@
         items = tuple(decode_item(row, response.epoch) for row in events)
         return Changes(items, response.read_position().pack())
 
-    async def open_lease(self, ttl_s: float) -> int:
+    async def open_lease(self, ttl_s: float) -> Lease:
         """Open a lease.
 
         :param ttl_s: time to live in seconds, unless the lease is renewed.
-        :returns: number of the lease.
+        :returns: the lease.
         :raises StoreFailed: if the store sends no usable response.
         """
         body = {"ttl_time": f"{int(ttl_s * MS_PER_S)}ms"}
         response = await self._expect_ok("POST", "/kv-lease", body)
-        return read_response_field(response.content, "lease", int)
+        number = read_response_field(response.content, "lease", int)
+        return Lease(number, response.epoch)
 
-    async def renew_lease(self, lease: int) -> float:
+    async def renew_lease(self, lease: Lease) -> float:
         """Renew a lease.
 
-        :param lease: number of the lease.
+        :param lease: the lease.
         :returns: seconds until the lease expires.
-        :raises LeaseEnded: if the lease has expired.
+        :raises LeaseEnded: if the lease has expired, or the store returned
+            from a copy since it was opened.
         :raises StoreFailed: if the store sends no usable response.
         """
-        response = await self._call("POST", f"/kv-keep/{lease}")
+        self._check_lease(lease, self.epoch)
+        response = await self._call("POST", f"/kv-keep/{lease.number}")
+        self._check_lease(lease, response.epoch)
         if response.status == HTTP_NOT_FOUND:
             raise LeaseEnded(str(lease))
         if response.status != HTTP_OK:
@@ -236,6 +252,10 @@
             read_response_field(response.content, "ttl_time", str)
         )
 
+    def _check_lease(self, lease: Lease | None, epoch: int) -> None:
+        if lease is not None and lease.epoch != epoch:
+            raise LeaseEnded(f"{lease} ended with its epoch")
+
     async def write(self, write: Write, expected: int | None = None) -> bool:
         """Write a value.
 
@@ -244,14 +264,17 @@
             must not exist, None for any.
         :returns: whether the value was written. It was not if the key has
             another position than expected.
-        :raises LeaseEnded: if the lease has expired.
+        :raises LeaseEnded: if the lease has expired, or the store returned
+            from a copy since it was opened. The value may have been written
+            with the lease of another client.
         :raises StoreFailed: if the store sends no usable response, or
             returned from a copy since the expected position.
         """
+        self._check_lease(write.lease, self.epoch)
         row = {
             "key": write.key,
             "value": base64.b64encode(write.value).decode("ascii"),
-            "lease": write.lease,
+            "lease": write.lease.number if write.lease else 0,
         }
         conditions = []
         position = unpack_position(expected or 0)
@@ -261,6 +284,7 @@
             conditions = [{"key": write.key, "rev": position.revision}]
         body = {"expected": conditions, "writes": [row], "deletes": []}
         response = await self._call("POST", "/kv-txn", body)
+        self._check_lease(write.lease, response.epoch)
         if response.status == HTTP_PRECONDITION_FAILED:
             return False
         if response.status == HTTP_NOT_FOUND:
--- a/carawayvale/platform/tests/test_decoding.py
+++ b/carawayvale/platform/tests/test_decoding.py
@@ -18,6 +18,7 @@
 from carawayvale.platform.source import encode_instance
 from carawayvale.platform.source import PlatformSource
 from carawayvale.platform.store_client import decode_item
+from carawayvale.platform.store_client import Lease
 from carawayvale.platform.store_client import StoreClient
 from carawayvale.platform.store_client import StoreFailed
 from carawayvale.platform.tests.examples import CONFIGURATION
@@ -221,7 +222,7 @@
                 store.read_all("a"),
                 store.watch("a", 1, 0.1),
                 store.open_lease(5.0),
-                store.renew_lease(1),
+                store.renew_lease(Lease(1, 0)),
             ):
                 with pytest.raises(StoreFailed):
                     await call
