--- a/carawayvale/gateway/change_feed.py
+++ b/carawayvale/gateway/change_feed.py
@@ -28,9 +28,9 @@
 from carawayvale.links.peer_link import PeerLink
 from carawayvale.links.peers import PeerTable
 from carawayvale.links.peers import register_message_handler
-from carawayvale.platform.store_client import HistoryGone
 from carawayvale.platform.store_client import StoreClient
-from carawayvale.platform.store_client import StoreFailed
+from carawayvale.platform.store_responses import HistoryGone
+from carawayvale.platform.store_responses import StoreFailed
 from carawayvale.telemetry.logs import log_event
 
 # Reports of endpoints change the store several times a second; changes
--- a/carawayvale/gateway/registration.py
+++ b/carawayvale/gateway/registration.py
@@ -9,10 +9,10 @@
 from carawayvale.platform.source import encode_instance
 from carawayvale.platform.source import INSTANCES_PREFIX
 from carawayvale.platform.store_client import Lease
-from carawayvale.platform.store_client import LeaseEnded
 from carawayvale.platform.store_client import StoreClient
-from carawayvale.platform.store_client import StoreFailed
 from carawayvale.platform.store_client import Write
+from carawayvale.platform.store_responses import LeaseEnded
+from carawayvale.platform.store_responses import StoreFailed
 from carawayvale.telemetry.logs import log_event
 
 LEASE_TTL_S = 15.0
--- a/carawayvale/platform/tests/test_decoding.py
+++ b/carawayvale/platform/tests/test_decoding.py
@@ -17,10 +17,10 @@
 from carawayvale.platform.settings import load_gateway_settings
 from carawayvale.platform.source import encode_instance
 from carawayvale.platform.source import PlatformSource
-from carawayvale.platform.store_client import decode_item
 from carawayvale.platform.store_client import Lease
 from carawayvale.platform.store_client import StoreClient
-from carawayvale.platform.store_client import StoreFailed
+from carawayvale.platform.store_responses import decode_item
+from carawayvale.platform.store_responses import StoreFailed
 from carawayvale.platform.tests.examples import CONFIGURATION
 from carawayvale.platform.tests.examples import ENDPOINT
 from carawayvale.platform.tests.examples import make_item
--- a/carawayvale/platform/tests/test_store_client.py
+++ b/carawayvale/platform/tests/test_store_client.py
@@ -2,11 +2,11 @@
 
 import curio
 
-from carawayvale.platform.store_client import HistoryGone
-from carawayvale.platform.store_client import LeaseEnded
 from carawayvale.platform.store_client import StoreClient
-from carawayvale.platform.store_client import StoreFailed
 from carawayvale.platform.store_client import Write
+from carawayvale.platform.store_responses import HistoryGone
+from carawayvale.platform.store_responses import LeaseEnded
+from carawayvale.platform.store_responses import StoreFailed
 from carawayvale.platform.tests.fakes import FakeStore
 from carawayvale.platform.tests.fakes import open_port
 
