--- a/carawayvale/gateway/owned_endpoint.py
+++ b/carawayvale/gateway/owned_endpoint.py
@@ -9,6 +9,7 @@
 import curio
 
 from carawayvale.catalogue.header_names import HeaderNames
+from carawayvale.catalogue.position import unpack_position
 from carawayvale.catalogue.records import EndpointRecord
 from carawayvale.catalogue.records import ServiceRecord
 from carawayvale.contracts.clock import read_boot_clock
@@ -346,7 +347,7 @@
             "turn": queued.queue_class.name.lower(),
             "waiting": len(self.queue.waiting),
             "running": len(self.queue.running),
-            "revision": self.endpoint.revision,
+            "revision": unpack_position(self.endpoint.revision),
             "cause": result.cause or "none",
         }
 
--- a/carawayvale/gateway/page_handlers.py
+++ b/carawayvale/gateway/page_handlers.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 import json
 
+from carawayvale.catalogue.position import unpack_position
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.change_feed import ChangeFeed
 from carawayvale.gateway.gateway_node import GatewayNode
@@ -127,7 +128,7 @@
             "configuration_age_s": now_s - node.configured_s,
             "store_epoch": self.change_feed.store.epoch,
             "store_age_s": now_s - self.change_feed.confirmed_s,
-            "revision": node.catalogue.revision,
+            "revision": unpack_position(node.catalogue.revision).revision,
             "endpoints": len(node.catalogue.endpoints),
             "endpoints_owned": len(owned),
             "endpoints_ejected": sum(o.health.ejected for o in owned),
@@ -147,7 +148,7 @@
         state = {
             "name": node.settings.name,
             "region": node.settings.region,
-            "revision": node.catalogue.revision,
+            "revision": str(unpack_position(node.catalogue.revision)),
             "ready": node.is_ready,
             "draining": node.leaving,
             "in_flight": sum(
--- a/carawayvale/gateway/request_context.py
+++ b/carawayvale/gateway/request_context.py
@@ -4,6 +4,7 @@
 from dataclasses import field
 from enum import Enum
 
+from carawayvale.catalogue.position import unpack_position
 from carawayvale.catalogue.records import EndpointRecord
 from carawayvale.catalogue.records import RouteRecord
 from carawayvale.gateway.http_messages import Request
@@ -145,5 +146,5 @@
             "left_ms": format_ms(self.owner_request.deadline_s - now_s),
             "stopped_by": (self.stop_reason or StopReason.NO_CANDIDATE).value,
             "lost_owners": self.format_lost_owners(),
-            "revision": revision,
+            "revision": unpack_position(revision),
         }
--- a/carawayvale/gateway/tests/test_fleet.py
+++ b/carawayvale/gateway/tests/test_fleet.py
@@ -312,7 +312,7 @@
         run_scenario(scenario)
         fields = dict(events)["request_refused"]
         assert fields["asked"] == "desk-i-1:not_run"
-        assert fields["revision"] > 0 and fields["left_ms"] > 0
+        assert fields["revision"].revision > 0 and fields["left_ms"] > 0
         assert dict(events)["request_run"]["outcome"] == "not_run"
 
 
