--- a/carawayvale/gateway/tests/test_planned_stops.py
+++ b/carawayvale/gateway/tests/test_planned_stops.py
@@ -120,8 +120,11 @@
                 if daemon is not owner:
                     declare_dead(daemon.node.membership, owner)
                     await daemon.peers.update_neighbours()
-            assert count_events(fleet, "aborted_forwards", "dead") > 0
+            aborted = count_events(fleet, "aborted_forwards", "dead")
+            assert aborted > 0
             await join_calls(calls)
+            lost = count_events(fleet, "lost_owners")
+            assert lost == aborted
 
         names = ("i-1", "i-2", "i-3", "i-4")
         run_scenario(scenario, instances=3, endpoints=names)
