--- a/carawayvale/platform/tests/test_store_client.py
+++ b/carawayvale/platform/tests/test_store_client.py
@@ -1,11 +1,15 @@
 """Tests of the client of a store that returns from a copy."""
 
 import curio
+import pytest
 
+from carawayvale.links.http import ResponseHead
 from carawayvale.platform.store_client import StoreClient
 from carawayvale.platform.store_client import Write
+from carawayvale.platform.store_responses import EPOCH_HEADER
 from carawayvale.platform.store_responses import HistoryGone
 from carawayvale.platform.store_responses import LeaseEnded
+from carawayvale.platform.store_responses import read_epoch
 from carawayvale.platform.store_responses import StoreFailed
 from carawayvale.platform.tests.fakes import FakeStore
 from carawayvale.platform.tests.fakes import open_port
@@ -38,6 +42,29 @@
     return False
 
 
+class TestEpochHeader:
+    @pytest.mark.parametrize(
+        "value,epoch", [(None, 0), (b"1", 0), (b"2", 1), (b"7", 6)]
+    )
+    def test_header_is_counted_from_the_first_epoch(self, value, epoch):
+        headers = () if value is None else ((EPOCH_HEADER, value),)
+        assert read_epoch(ResponseHead(200, headers)) == epoch
+
+    @pytest.mark.parametrize("value", [b"", b"x", b"-1", b"1.5"])
+    def test_malformed_header_raises_store_failed(self, value):
+        with pytest.raises(StoreFailed):
+            read_epoch(ResponseHead(200, ((EPOCH_HEADER, value),)))
+
+    def test_positions_of_the_first_epoch_are_revisions(self):
+        async def scenario(store, client):
+            store.put("a", b"x")
+            reading = await client.read_all("")
+            assert reading.revision == store.revision
+            assert reading.items["a"].revision == store.revision
+
+        run_with_store(scenario)
+
+
 class TestReturnFromCopy:
     def test_watch_does_not_skip_changes_at_reused_revisions(self):
         async def scenario(store, client):
