Give up endpoints that an instance can no longer reach

Only the owner of an endpoint sends to it. An instance that was partitioned from all endpoints, while callers, the store and its peers reached it, kept its share of them: its checks ejected them, and callers of every instance were refused. In a test fleet with both instances of one failure domain partitioned, callers got about half of their requests served (hang, reset); with both instances of a region, none. While old connections lived on and only new ones were refused, nearly all were served.

A failed connection attempt now leads to a round of probes of four endpoints of different services and failure domains. If none accepts a connection and another instance serves, the instance announces itself as idle: others own its endpoints, look-ups do not name it, and it forwards the requests that still come to it. Once a probe succeeds it restores the endpoints that accept a connection and joins again. The last serving instance keeps its endpoints, and one that finds itself the last takes them back. A new configuration does not make a partitioned instance join.

--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -19,6 +19,7 @@
 from carawayvale.gateway.page_handlers import MetricsHandler
 from carawayvale.gateway.page_handlers import ReadinessHandler
 from carawayvale.gateway.proxy_handler import ProxyHandler
+from carawayvale.gateway.reachability_monitor import ReachabilityMonitor
 from carawayvale.gateway.registration import Registration
 from carawayvale.gateway.server import HandleRequest
 from carawayvale.gateway.server import RequestServer
@@ -91,6 +92,7 @@
             self.store, self.peers, self._apply_items
         )
         self.registration = Registration(self.store, settings)
+        self.reachability_monitor = ReachabilityMonitor(self.node, self.peers)
         self.caller_server = RequestServer(ProxyHandler(self.node).handle)
         self.internal_server = RequestServer(OwnerHandler(self.node).handle)
         self.listeners: dict[RequestServer, Listener] = {}
@@ -131,6 +133,7 @@
             self.change_feed.run,
             self.change_feed.run_notices,
             self.registration.run,
+            self.reachability_monitor.run,
             self._tick,
             self._stop_when_requested,
         ]
@@ -206,7 +209,12 @@
             self.peers.last_redial_s = 0.0
 
     async def _join(self) -> None:
-        """Become a serving member, once there is a configuration."""
+        """Become a serving member, once there is a configuration.
+
+        An instance that is partitioned from all endpoints does not join.
+        """
+        if self.node.reachability.is_partitioned:
+            return
         membership = self.node.membership
         if membership.own_record.state is MemberState.IDLE:
             membership.join()
@@ -225,6 +233,8 @@
             self.node.refresh()
             if self.node.released:
                 await self.node.reconcile_owned()
+            if self.node.reachability.is_partitioned:
+                continue
             now_s = read_boot_clock()
             for owned in list(self.node.owned.values()):
                 if owned.needs_check(now_s):
--- a/carawayvale/gateway/endpoint_checks.py
+++ b/carawayvale/gateway/endpoint_checks.py
@@ -6,7 +6,7 @@
 
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.links.connections import OutgoingCall
-from carawayvale.links.http import connect
+from carawayvale.links.http import ConnectFailed
 from carawayvale.links.http import ConnectionBroken
 from carawayvale.links.http import ConnectRefused
 from carawayvale.telemetry.logs import log_event
@@ -27,7 +27,7 @@
     :param owned: the endpoint.
     """
     try:
-        sock = await connect(owned.endpoint.address, CHECK_TIMEOUT_S)
+        client = await owned.upstream.pool.open(CHECK_TIMEOUT_S)
     except ConnectionBroken as error:
         owned.health.eject(read_boot_clock())
         owned.record_ejection(f"no connection: {error}")
@@ -36,7 +36,27 @@
         if not isinstance(error, ConnectRefused):
             owned.abort_in_flight()
         return
-    await sock.close()
+    await client.close()
+
+
+async def restore_reachable(owned: "OwnedEndpoint") -> None:
+    """Restore an ejected endpoint if it accepts a connection.
+
+    :param owned: the endpoint.
+    """
+    try:
+        client = await owned.upstream.pool.open(CHECK_TIMEOUT_S)
+    except ConnectFailed as error:
+        log_event(
+            "check_failed",
+            "DEBUG",
+            endpoint=owned.endpoint.name,
+            cause=repr(error),
+        )
+        return
+    await client.close()
+    owned.health.record_check(True, read_boot_clock())
+    await owned.notify_waiters()
 
 
 async def check_healthy(owned: "OwnedEndpoint") -> None:
--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -272,6 +272,8 @@
             )
         except ValueError as error:
             return Response(400, body=str(error).encode())
+        if self.node.reachability.is_partitioned:
+            return encode_result(UpstreamResult(UpstreamOutcome.UNUSABLE))
         owned = self.node.find_owned(received.endpoint)
         if owned is None:
             return encode_result(UpstreamResult(UpstreamOutcome.UNUSABLE))
--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -25,6 +25,7 @@
 from carawayvale.steering.placement import group_by_region
 from carawayvale.steering.rates import FleetRetryBudget
 from carawayvale.steering.rates import ShiftLimit
+from carawayvale.steering.reachability import Reachability
 from carawayvale.steering.routing import RouteTable
 from carawayvale.steering.spill import SpillPolicy
 from carawayvale.telemetry.logs import log_event
@@ -93,6 +94,7 @@
         self.full: dict[str, FullEndpoint] = {}
         self.forwards = ForwardTable()
         self.leaving = False
+        self.reachability = Reachability()
         self.configured_s = read_boot_clock()
         self.members_changed_s = self.configured_s
         self.observer = RequestObserver()
@@ -231,6 +233,7 @@
             service,
             self.observer,
             lambda: self._may_repeat(service.name),
+            self.reachability.record_connect,
         )
         owned.blocked = endpoint.domain in self.catalogue.evacuated
         self.owned[name] = owned
--- a/carawayvale/gateway/owned_endpoint.py
+++ b/carawayvale/gateway/owned_endpoint.py
@@ -15,6 +15,8 @@
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.endpoint_checks import check_healthy
 from carawayvale.gateway.endpoint_checks import check_reachable
+from carawayvale.gateway.endpoint_pool import ignore_connect
+from carawayvale.gateway.endpoint_pool import RecordConnect
 from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.observer import format_ms
 from carawayvale.gateway.observer import RequestObserver
@@ -97,6 +99,7 @@
     :param observer: records metrics and logs of the requests.
     :param may_repeat: spends a retry of the budget for a repeat and
         returns whether there was one.
+    :param record_connect: records attempts to open a connection.
     """
 
     def __init__(
@@ -106,16 +109,18 @@
         service: ServiceRecord,
         observer: RequestObserver,
         may_repeat: Callable[[], bool],
+        record_connect: RecordConnect = ignore_connect,
     ):
         self.header_names = header_names
         self.observer = observer
         self.may_repeat = may_repeat
+        self.record_connect = record_connect
         self.repeat_policy = RepeatPolicy()
         self.endpoint = endpoint
         self.service = service
         self.queue = EndpointQueue(endpoint.slots)
         self.health = EndpointHealth()
-        self.upstream = Upstream(header_names, endpoint)
+        self.upstream = Upstream(header_names, endpoint, record_connect)
         self.waiters: dict[QueuedRequest, SlotWaiter] = {}
         self.in_flight: dict[QueuedRequest, Request] = {}
         self.checked_s = 0.0
@@ -137,7 +142,9 @@
         self.upstream.endpoint = endpoint
         restarted = endpoint.started_ms != old.started_ms
         if endpoint.address != old.address or restarted:
-            self.upstream = Upstream(self.header_names, endpoint)
+            self.upstream = Upstream(
+                self.header_names, endpoint, self.record_connect
+            )
             self.health = EndpointHealth()
             self.queue.service_times.objects.clear()
             self.moved_until_s = 0.0
@@ -419,6 +426,14 @@
         for request in self.in_flight.values():
             self.upstream.abort(request)
 
+    def abort_overdue(self, now_s: float) -> None:
+        """Abort the idempotent requests that run far longer than estimated.
+
+        :param now_s: the time.
+        """
+        for queued in self.list_overdue(now_s):
+            self.upstream.abort(self.in_flight[queued])
+
     async def close(self) -> None:
         """Close the idle connections to the endpoint."""
         await self.upstream.pool.close()
--- a/carawayvale/gateway/tests/fleet.py
+++ b/carawayvale/gateway/tests/fleet.py
@@ -20,7 +20,12 @@
 from carawayvale.platform.tests.fakes import FakeStore
 from carawayvale.platform.tests.fakes import open_port
 
-REGIONS = {"zrh-a": "zurich", "gva-a": "geneva", "lug-a": "lugano"}
+REGIONS = {
+    "zrh-a": "zurich",
+    "zrh-b": "zurich",
+    "gva-a": "geneva",
+    "lug-a": "lugano",
+}
 POLL_S = 0.02
 WAIT_TIMEOUT_S = 20.0
 MAX_BYTES = 1 << 20
@@ -103,12 +108,16 @@
     async def add_instance(self, name, domain="zrh-a"):
         """Start an instance on its own loopback address."""
         settings = make_settings(name, domain, self.store_address)
-        source = PlatformSource(settings.regions)
+        source = await self.make_source(settings)
         daemon = GatewayDaemon(settings, HEADER_NAMES, source, b"test")
         self.daemons.append(daemon)
         self.tasks.append(await curio.spawn(daemon.run, daemon=True))
         return daemon
 
+    async def make_source(self, settings):
+        """Make the decoder of the store's items for one instance."""
+        return PlatformSource(settings.regions)
+
     async def wait_until(self, condition):
         """Wait for a condition with a long timeout."""
         async with curio.timeout_after(WAIT_TIMEOUT_S):
@@ -146,10 +155,14 @@
 
 @asynccontextmanager
 async def open_fleet(
-    instances=1, endpoints=("i-1",), domains=("zrh-a",), configured=True
+    instances=1,
+    endpoints=("i-1",),
+    domains=("zrh-a",),
+    configured=True,
+    fleet_class=GatewayFleet,
 ):
     """Start a fleet, and cancel all its tasks afterwards."""
-    fleet = GatewayFleet()
+    fleet = fleet_class()
     await fleet.open_store(configured)
     for name in endpoints:
         await fleet.add_endpoint(name)
--- a/carawayvale/gateway/upstream.py
+++ b/carawayvale/gateway/upstream.py
@@ -7,8 +7,10 @@
 
 from carawayvale.catalogue.header_names import HeaderNames
 from carawayvale.catalogue.records import EndpointRecord
+from carawayvale.gateway.endpoint_pool import EndpointPool
+from carawayvale.gateway.endpoint_pool import ignore_connect
+from carawayvale.gateway.endpoint_pool import RecordConnect
 from carawayvale.gateway.http_messages import Request
-from carawayvale.links.connections import ConnectionPool
 from carawayvale.links.http import ConnectFailed
 from carawayvale.links.http import ConnectionBroken
 from carawayvale.links.http import Headers
@@ -125,12 +127,18 @@
 
     :param header_names: names of HTTP headers.
     :param endpoint: the endpoint.
+    :param record_connect: records attempts to open a connection.
     """
 
-    def __init__(self, header_names: HeaderNames, endpoint: EndpointRecord):
+    def __init__(
+        self,
+        header_names: HeaderNames,
+        endpoint: EndpointRecord,
+        record_connect: RecordConnect = ignore_connect,
+    ):
         self.header_names = header_names
         self.endpoint = endpoint
-        self.pool = ConnectionPool(endpoint.address)
+        self.pool = EndpointPool(endpoint, record_connect)
         self.abortable: dict[int, set[HttpClient]] = {}
 
     async def send(
--- a/carawayvale/links/connections.py
+++ b/carawayvale/links/connections.py
@@ -94,6 +94,15 @@
             if is_recent and not connection.client.has_closed():
                 return connection.client
             await connection.client.close()
+        return await self.open(timeout_s)
+
+    async def open(self, timeout_s: float) -> HttpClient:
+        """Open a new connection.
+
+        :param timeout_s: connect timeout in seconds.
+        :returns: a connection for one exchange.
+        :raises ConnectFailed: if the connection fails or times out.
+        """
         sock = await connect(self.address, timeout_s, self.ssl, self.source)
         return HttpClient(sock)
 
--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -25,6 +25,12 @@
         "ShiftLimit",
         "WindowCounter",
     ),
+    "reachability": (
+        "choose_probes",
+        "ProbeRound",
+        "Reachability",
+        "ReachabilityChange",
+    ),
     "repeats": (
         "RepeatPolicy",
         "start_repeat",
