Keep a partition of endpoints through pauses and late checks

In a test run beside other load the process paused for two seconds while an instance was partitioned from all endpoints. That it still serves alone is now concluded from the failure detector's list only, which restarts its timeouts after a pause. That a peer was heard lately is still required before endpoints are given up.

In the same run, health checks that had begun during the partition failed after the endpoints were restored, and ejected them again. A failed check of an endpoint that was restored meanwhile now changes nothing.

Both new tests failed before the change and pass now.

--- a/carawayvale/gateway/reachability_monitor.py
+++ b/carawayvale/gateway/reachability_monitor.py
@@ -15,7 +15,6 @@
 from carawayvale.gateway.gateway_node import GatewayNode
 from carawayvale.links.http import connect
 from carawayvale.links.http import ConnectFailed
-from carawayvale.links.messages import MemberState
 from carawayvale.links.peers import PeerTable
 from carawayvale.steering.reachability import choose_probes
 from carawayvale.steering.reachability import PROBE_TIMEOUT_S
@@ -80,7 +79,7 @@
 
     async def _run_round(self) -> None:
         reachability = self.node.reachability
-        heard_before = self._others_serve()
+        heard_before = self._hears_others()
         failed = set(reachability.failed_s)
         endpoints = choose_probes(
             self.node.catalogue.endpoints.values(), failed
@@ -89,10 +88,12 @@
         if self.node.leaving:
             return
         since_s = reachability.partitioned_s
+        if reachability.is_partitioned:
+            others_serve = self._others_serve()
+        else:
+            others_serve = heard_before and self._hears_others()
         change = reachability.record_round(
-            probe_round,
-            heard_before and self._others_serve(),
-            probe_round.finished_s,
+            probe_round, others_serve, probe_round.finished_s
         )
         if change is not None:
             self._log_change(change, probe_round, failed, since_s)
@@ -102,6 +103,13 @@
                 owned.abort_overdue(probe_round.finished_s)
 
     def _others_serve(self) -> bool:
+        """Tell whether the failure detector lists another instance."""
+        return any(
+            record.name != self.node.settings.name
+            for record in self.node.membership.list_serving()
+        )
+
+    def _hears_others(self) -> bool:
         """Tell whether another instance serves and one was heard lately.
 
         An instance that hears no other one is partitioned from them too,
@@ -109,12 +117,7 @@
         """
         membership = self.node.membership
         now_s = self.peers.clock.read()
-        serves = any(
-            record.state is MemberState.ALIVE
-            and record.name != self.node.settings.name
-            for record in membership.list_serving()
-        )
-        return serves and any(
+        return self._others_serve() and any(
             membership.is_heard(name, now_s)
             for name in membership.last_heard_s
         )
--- a/carawayvale/gateway/tests/test_partitions.py
+++ b/carawayvale/gateway/tests/test_partitions.py
@@ -2,6 +2,7 @@
 
 from contextlib import asynccontextmanager
 import copy
+import time
 
 import curio
 import pytest
@@ -21,6 +22,7 @@
 ZONE_DOMAINS = ("zrh-a", "zrh-a", "zrh-b")
 
 STABLE_WINDOW_S = 3.0
+PAUSE_S = 2.0
 CALL_INTERVAL_S = 0.03
 CALLS = 30
 MIN_SERVED = 0.9
@@ -199,6 +201,20 @@
 
         run_partition(scenario)
 
+    def test_a_pause_does_not_make_it_serve(self):
+        """Right after a pause of the process no peer was heard lately."""
+
+        async def scenario(fleet):
+            async with open_traffic(fleet, fleet.daemons):
+                await fleet.cut("e1", Partition.RESET)
+                await wait_state(fleet, ("e1",), MemberState.IDLE)
+                time.sleep(PAUSE_S)
+                await curio.sleep(1.0)
+            own_record = fleet.daemons[0].node.membership.own_record
+            assert own_record.state is MemberState.IDLE
+
+        run_partition(scenario)
+
     def test_a_planned_stop_completes(self, monkeypatch):
         monkeypatch.setattr(daemon_module, "LOOKUP_EXPIRY_S", 1.0)
 
--- a/carawayvale/steering/health.py
+++ b/carawayvale/steering/health.py
@@ -131,6 +131,9 @@
     def record_check(self, passed: bool, now_s: float) -> None:
         """Restore the endpoint if a check passed, else prolong its ejection.
 
+        A failed check changes nothing if the endpoint was restored since
+        the check began.
+
         :param passed: whether the check passed.
         :param now_s: the time.
         """
@@ -139,5 +142,5 @@
             self.consecutive_failures = 0
             self.failure_rate = 0.0
             self.ejection_s = INITIAL_EJECTION_S
-        else:
+        elif self.ejected:
             self.eject(now_s)
--- a/carawayvale/steering/reachability.py
+++ b/carawayvale/steering/reachability.py
@@ -135,8 +135,9 @@
         """Draw the conclusion from a round of probes.
 
         :param probe_round: the result of the round.
-        :param others_serve: whether another instance serves and was heard
-            lately.
+        :param others_serve: whether another instance serves. One that was
+            not heard lately counts only while this instance is
+            partitioned, since a pause of its process must not end that.
         :param now_s: the time.
         :returns: the change of state, if any.
         """
@@ -168,8 +169,7 @@
     ) -> ReachabilityChange | None:
         """End the partitioned state if no other instance serves.
 
-        :param others_serve: whether another instance serves and was heard
-            lately.
+        :param others_serve: whether another instance serves.
         :param now_s: the time.
         :returns: the change of state, if any.
         """
--- a/carawayvale/steering/tests/test_decisions.py
+++ b/carawayvale/steering/tests/test_decisions.py
@@ -250,6 +250,13 @@
         health.record_check(True, health.next_check_s)
         assert health.is_usable
 
+    def test_a_check_that_began_before_a_restoration_may_fail(self):
+        health = EndpointHealth()
+        health.record(HealthSignal.UNREACHABLE, 0.0)
+        health.record_check(True, 1.0)
+        health.record_check(False, 1.1)
+        assert health.is_usable
+
     def test_a_failing_endpoint_gets_one_sample_per_interval(self):
         """The endpoint fails half of its requests."""
         health = EndpointHealth()
