Drop a keep-alive setting that has no effect

TCP_USER_TIMEOUT, which is set on all connections, also decides when keep-alive probes give up, whatever their maximum number, so the number had no effect and the comment gave the wrong reason for the time. These times are what is wanted on all kinds of connection, so they are unchanged.

--- a/carawayvale/links/http.py
+++ b/carawayvale/links/http.py
@@ -16,10 +16,10 @@
 CONNECT_TIMEOUT_S = 1.0
 
 # A peer that vanishes without closing the connection is detected after
-# about KEEPALIVE_INTERVAL_S * (KEEPALIVE_PROBES + 1) on an idle connection
-# and after USER_TIMEOUT_MS while data is unacknowledged.
+# USER_TIMEOUT_MS while data is unacknowledged, and on an idle connection
+# when the first keep-alive probe is due after that time. The timeout
+# replaces the maximum number of probes.
 KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 2500
 
 Headers = list[tuple[bytes, bytes]]
@@ -165,5 +165,4 @@
     sock.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_KEEPALIVE, 1)
     sock.setsockopt(tcp, plain_socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(tcp, plain_socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(tcp, plain_socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     sock.setsockopt(tcp, plain_socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
