Replace the connection of a check in its test at the pool

The check opens its connection through the pool of the endpoint since instances look for partitions; the test replaces that. It asserts the same.

--- a/carawayvale/gateway/tests/test_endpoint_checks.py
+++ b/carawayvale/gateway/tests/test_endpoint_checks.py
@@ -8,7 +8,6 @@
 from carawayvale.catalogue.records import ServiceRecord
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import read_boot_clock
-from carawayvale.gateway import endpoint_checks
 from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.observer import RequestObserver
 from carawayvale.gateway.owned_endpoint import OwnedEndpoint
@@ -38,9 +37,15 @@
     return OwnerRequest(request, 0, "7", True, now_s + 5.0, now_s + 5.0)
 
 
-async def check_while_running(endpoint):
+async def time_out(timeout_s):
+    """Fail to open a connection, as to an endpoint that is silent."""
+    raise ConnectFailed("timed out")
+
+
+async def check_while_running(endpoint, open_connection=None):
     """Check an endpoint that runs a request but accepts no connection.
 
+    :param open_connection: replaces the opening of the check's connection.
     :returns: the result of the request.
     """
     listener = open_port(endpoint.handle)
@@ -56,6 +61,8 @@
     while not endpoint.runs:
         await curio.sleep(POLL_S)
     await listener.stop()
+    if open_connection is not None:
+        owned.upstream.pool.open = open_connection
     await owned.check()
     assert owned.health.ejected
     result = await running.join()
@@ -70,11 +77,7 @@
         assert result.outcome is UpstreamOutcome.ANSWERED
         assert endpoint.cancelled == 0
 
-    def test_request_at_a_silent_endpoint_is_aborted(self, monkeypatch):
-        async def connect(address, timeout_s):
-            raise ConnectFailed("timed out")
-
-        monkeypatch.setattr(endpoint_checks, "connect", connect)
+    def test_request_at_a_silent_endpoint_is_aborted(self):
         endpoint = FakeEndpoint("i-1", service_time_s=SERVICE_TIME_S)
-        result = curio.run(check_while_running, endpoint)
+        result = curio.run(check_while_running, endpoint, time_out)
         assert result.outcome is UpstreamOutcome.FAILED
