Probe endpoints of the own failure domain too

An instance whose failure domain is partitioned from all others reaches the endpoints of its own. Two of the four probes now go to the own failure domain.

--- a/carawayvale/gateway/reachability_monitor.py
+++ b/carawayvale/gateway/reachability_monitor.py
@@ -82,7 +82,9 @@
         heard_before = self._hears_others()
         failed = set(reachability.failed_s)
         endpoints = choose_probes(
-            self.node.catalogue.endpoints.values(), failed
+            self.node.catalogue.endpoints.values(),
+            failed,
+            self.node.settings.domain,
         )
         probe_round = await probe_all(endpoints)
         if self.node.leaving:
--- a/carawayvale/steering/reachability.py
+++ b/carawayvale/steering/reachability.py
@@ -17,6 +17,10 @@
 
 # Number of endpoints that one round of probes connects to.
 MAX_PROBES = 4
+
+# Number of them in the own failure domain, which may be partitioned from
+# all others as a whole.
+LOCAL_PROBES = 2
 PROBE_TIMEOUT_S = 0.5
 
 # A round that takes longer than its timeout by this much was delayed by
@@ -182,15 +186,17 @@
 
 
 def choose_probes(
-    endpoints: Iterable[EndpointRecord], failed: Collection[str]
+    endpoints: Iterable[EndpointRecord], failed: Collection[str], domain: str
 ) -> list[EndpointRecord]:
     """Choose endpoints whose failure domains and services differ.
 
+    Those of the own failure domain come first.
     Endpoints that failed already and those that drain are chosen only if
     there are not enough others.
 
     :param endpoints: all endpoints.
     :param failed: names of endpoints that could not be reached.
+    :param domain: the own failure domain.
     :returns: at most MAX_PROBES endpoints.
     """
     shuffled = list(endpoints)
@@ -200,8 +206,9 @@
     for endpoint in shuffled:
         services = by_domain.setdefault(endpoint.domain, {})
         services.setdefault(endpoint.service, []).append(endpoint)
+    own = _alternate(by_domain.pop(domain, {}).values())
     columns = [_alternate(groups.values()) for groups in by_domain.values()]
-    chosen = _alternate(columns)
+    chosen = own[:LOCAL_PROBES] + _alternate(columns) + own[LOCAL_PROBES:]
     chosen.sort(key=lambda e: e.name in failed)
     return chosen[:MAX_PROBES]
 
--- a/carawayvale/steering/tests/test_reachability.py
+++ b/carawayvale/steering/tests/test_reachability.py
@@ -136,16 +136,29 @@
             for service in ("grids", "desk")
             for number in range(5)
         ]
-        chosen = choose_probes(endpoints, ())
+        chosen = choose_probes(endpoints, (), "zrh-a")
         assert len({(e.domain, e.service) for e in chosen}) == MAX_PROBES
 
+    def test_the_own_failure_domain_is_always_probed(self):
+        """It may be partitioned from all other failure domains."""
+        domains = ("zrh-a", "zrh-b", "gva-a", "gva-b", "lug-a", "lug-b")
+        endpoints = [
+            make_endpoint(f"{domain}-{number}", domain=domain)
+            for domain in domains
+            for number in range(3)
+        ]
+        for domain in domains:
+            chosen = choose_probes(endpoints, (), domain)
+            assert len(chosen) == MAX_PROBES
+            assert [e.domain for e in chosen].count(domain) == 2
+
     def test_failed_and_draining_endpoints_come_last(self):
         draining = make_endpoint("i-5", state=EndpointState.DRAINING)
         sound = [make_endpoint(f"i-{n}") for n in range(MAX_PROBES)]
         failed = make_endpoint("i-9", domain="gva-a")
-        chosen = choose_probes([failed, draining, *sound], {"i-9"})
+        chosen = choose_probes([failed, draining, *sound], {"i-9"}, "zrh-a")
         assert {e.name for e in chosen} == {e.name for e in sound}
 
     def test_failed_endpoints_are_chosen_if_there_are_no_others(self):
         failed = make_endpoint("i-9")
-        assert choose_probes([failed], {"i-9"}) == [failed]
+        assert choose_probes([failed], {"i-9"}, "zrh-a") == [failed]
