Make the relays of the partition tests robust

A relay now shuts such a socket down, and relays have ports below the ephemeral range on the address of their instance. What the tests check is unchanged.

--- a/carawayvale/gateway/tests/partitions.py
+++ b/carawayvale/gateway/tests/partitions.py
@@ -1,5 +1,6 @@
 """A fleet whose instances can be partitioned from all endpoints."""
 
+from contextlib import suppress
 from dataclasses import replace
 from enum import Enum
 import socket as plain_socket
@@ -15,7 +16,9 @@
 from carawayvale.links.listener import open_listener
 from carawayvale.platform.source import PlatformSource
 
-LOOPBACK = "127.0.0.1"
+# The relays of an instance have its loopback address and ports from this
+# one on, below the kernel's range of ephemeral ports.
+FIRST_PORT = 7100
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 # Connections that fill the accept queue of a listener with backlog 0.
@@ -45,13 +48,19 @@
     await sock.close()
 
 
+def _shut_down(sock):
+    """End a connection whose socket another task may be reading."""
+    with suppress(OSError):
+        sock._socket.shutdown(plain_socket.SHUT_RDWR)
+
+
 class Relay:
     """TCP relay between one instance and one endpoint."""
 
-    def __init__(self, target):
+    def __init__(self, target, address):
         self.target = target
-        self.sock = open_listener(Address(LOOPBACK, 0))
-        self.address = Address(*self.sock.getsockname()[:2])
+        self.address = address
+        self.sock = open_listener(address)
         self.flowing = curio.Event()
         self.acceptor = None
         self.pumps = set()
@@ -131,7 +140,7 @@
             await self.flowing.wait()
             await sink.shutdown(plain_socket.SHUT_WR)
         except OSError:
-            await _reset(sink)
+            _shut_down(sink)
         finally:
             self.pumps.discard(await curio.current_task())
 
@@ -166,11 +175,13 @@
     async def make_source(self, settings):
         """Make a decoder, and the relays of one instance."""
         relays = {}
-        for endpoint in self.endpoints.values():
+        own_host = settings.callers.host
+        for number, endpoint in enumerate(self.endpoints.values()):
             host, port = endpoint.entry["address"].rsplit(":", 1)
-            address = Address(host, int(port))
-            relays[address] = Relay(address)
-            await relays[address].start()
+            target = Address(host, int(port))
+            own_address = Address(own_host, FIRST_PORT + number)
+            relays[target] = Relay(target, own_address)
+            await relays[target].start()
         self.relays[settings.name] = relays
         return RelayedSource(settings.regions, relays)
 
