Wait for requests whose body still arrives before an entry stops

A caller that sent the body of its request slowly to an entry instance that was about to stop lost its connection without a response. The instance logged waited_for=nothing.

Cause: a request was counted as in flight only after its body had been read. A drain waits until nothing is in flight, so it did not wait for such a request. Found by reading while the failures of the drain tests beside load were traced; it is not what failed them.

A request is in flight now from its head to the end of its response, in one place instead of two.

--- a/carawayvale/commands/tests/test_drains.py
+++ b/carawayvale/commands/tests/test_drains.py
@@ -1,6 +1,7 @@
 """Tests of draining entry instances and backend servers."""
 
 import signal
+import socket
 import time
 
 import pytest
@@ -17,7 +18,36 @@
 from carawayvale.standins import ServiceCall
 
 
+SLOW_BODY_HEAD = (
+    b"PUT /x HTTP/1.1\r\nhost: archive\r\ncontent-length: 4\r\n"
+    b"carawayvale-request-id: slow-body\r\n"
+    b"carawayvale-deadline-ms: 30000\r\n\r\n"
+)
+
+
 class TestDrains:
+    def test_instance_does_not_stop_while_the_body_of_a_request_arrives(
+        self, small_deployment
+    ):
+        process = small_deployment.processes["zurich-1"]
+        address = "127.0.0.1", small_deployment.ports["zurich-1"]["callers"]
+        with socket.create_connection(address, timeout=20) as caller:
+            small_deployment.signal("zurich-1", signal.SIGTERM)
+            small_deployment.wait_until(
+                lambda: "event=drain_started" in process.log.read_text(),
+                "does not drain",
+            )
+            caller.sendall(SLOW_BODY_HEAD + b"cl")
+            # An instance without requests stops after 4.5 s.
+            time.sleep(6.0)
+            caller.sendall(b"ue")
+            response = caller.recv(4096)
+        assert response.startswith(b"HTTP/1.1 200 ")
+        small_deployment.wait_until(
+            lambda: not process.is_running, "still runs"
+        )
+        assert "waited_for=nothing" in process.log.read_text()
+
     def test_no_request_fails_during_rolling_restart(self, small_deployment):
         with Load(small_deployment, MIXED_CALLS) as load:
             time.sleep(SETTLING_TIME_S)
--- a/carawayvale/machines/exchange.py
+++ b/carawayvale/machines/exchange.py
@@ -70,7 +70,18 @@
         self.writer = ResponseWriter(node, http, request)
 
     async def run(self) -> None:
-        """Serve the request and send a response or a refusal."""
+        """Serve the request and send a response or a refusal.
+
+        The request is in flight from its head on, so an instance does not
+        stop while the body arrives or the response is sent.
+        """
+        self.node.in_flight += 1
+        try:
+            await self._serve()
+        finally:
+            self.node.in_flight -= 1
+
+    async def _serve(self) -> None:
         request = self.request
         metrics = self.node.metrics
         start_s = self.node.clock.read()
@@ -182,12 +193,8 @@
         if not self._spend_shift_credit():
             return Reason.NO_CREDIT
         await self.state.read_body()
-        self.node.in_flight += 1
-        try:
-            executor = ShardExecutor(self.state, self.writer, queue)
-            return await executor.run(shard_request)
-        finally:
-            self.node.in_flight -= 1
+        executor = ShardExecutor(self.state, self.writer, queue)
+        return await executor.run(shard_request)
 
     def _choose_queue(self) -> ShardQueue | None:
         service = self.request.service.name
@@ -238,7 +245,6 @@
         state = self.state
         node = self.node
         await state.read_body()
-        node.in_flight += 1
         span = node.tracing.start_span("peer", self.span)
         span.set_attribute("instance", record.name)
         start_s = node.clock.read()
@@ -260,7 +266,6 @@
             node.metrics.count("forwards", record.name)
             return await self._relay_forwarded_response(pool, attempt)
         finally:
-            node.in_flight -= 1
             span.end()
 
     async def _relay_forwarded_response(
