Send peers the deletions of a new epoch too

After the store returned from a copy, several instances may read it, at different revisions. One that read before a key was deleted kept the key for good: the update with all items, which another instance sends after its later reading, listed the present keys only, and moved the position of the receiver past the deletion. An endpoint that is gone, or an evacuation that was taken back, would stay.

The update now has the deletions that its sender knows as well. A key that the sender never knew, deleted between the two readings, is not covered.

test_deletion_before_the_reading_reaches_peers_that_read_earlier failed before. The method that listed the present items had no other use; two tests list them themselves.

--- a/carawayvale/catalogue/replica.py
+++ b/carawayvale/catalogue/replica.py
@@ -111,13 +111,6 @@
         self.items[item.key] = item
         return True
 
-    def list_present(self) -> list[StoredItem]:
-        """List the items of all keys that are not deleted.
-
-        :returns: the items.
-        """
-        return [i for i in self.items.values() if i.value is not None]
-
     def collect_since(self, revision: int) -> tuple[StoredItem, ...]:
         """Collect the changes after a revision, deletions included.
 
--- a/carawayvale/catalogue/tests/test_builder.py
+++ b/carawayvale/catalogue/tests/test_builder.py
@@ -63,6 +63,11 @@
         return self.builder.catalogue.endpoints
 
 
+def list_present(replica):
+    """List the items of a replica that are not deleted."""
+    return [i for i in replica.items.values() if i.value is not None]
+
+
 class TestStoreReplica:
     def test_a_key_never_goes_back_to_an_earlier_revision(self):
         replica = StoreReplica()
@@ -107,7 +112,7 @@
         b = {"b": StoredItem("b", old, b"old")}
         assert replica.apply_snapshot(b, old, old) == []
         assert replica.revision == later
-        assert replica.list_present() == [StoredItem("a", later, b"x")]
+        assert list_present(replica) == [StoredItem("a", later, b"x")]
 
     def test_snapshot_of_a_later_epoch_replaces_items_it_lacks(self):
         replica = StoreReplica()
@@ -118,7 +123,7 @@
         present = {"b": StoredItem("b", later, b"y")}
         changes = replica.apply_snapshot(present, later, later)
         assert {item.key for item in changes} == {"a", "b"}
-        assert replica.list_present() == [present["b"]]
+        assert list_present(replica) == [present["b"]]
         assert all(i.revision >= later for i in replica.items.values())
 
 
--- a/carawayvale/gateway/change_feed.py
+++ b/carawayvale/gateway/change_feed.py
@@ -154,8 +154,9 @@
             # Peers read the store themselves, or request what they lack.
             self.published_revision, to_publish = self.replica.revision, []
         elif find_epoch(before) < find_epoch(self.replica.revision):
+            # Peers may have read a key that was deleted before this reading.
             self.published_revision = 0
-            to_publish = self.replica.list_present()
+            to_publish = list(self.replica.collect_since(0))
         if to_publish or now_s - self.published_s >= CONFIRM_INTERVAL_S:
             await self._publish(to_publish)
         await curio.sleep(max(0.0, BATCH_S - (now_s - start_s)))
--- a/carawayvale/gateway/tests/test_feed_updates.py
+++ b/carawayvale/gateway/tests/test_feed_updates.py
@@ -7,7 +7,10 @@
 
 from carawayvale.catalogue.position import find_epoch
 from carawayvale.catalogue.position import StorePosition
+from carawayvale.catalogue.replica import StoredItem
+from carawayvale.catalogue.replica import StoreReplica
 from carawayvale.gateway.feed_updates import classify_update
+from carawayvale.gateway.feed_updates import unpack_items
 from carawayvale.gateway.feed_updates import UpdateKind
 from carawayvale.gateway.tests.fleet import open_fleet
 from carawayvale.links.feed_messages import FeedItem
@@ -16,6 +19,7 @@
 from carawayvale.links.messages import decode_message
 from carawayvale.links.messages import encode_message
 
+KEY = "servers/i-1"
 Peer = namedtuple("Peer", "name")
 
 
@@ -103,3 +107,36 @@
             assert link.sent == [FeedRequest(known)]
 
         run_with_feed(scenario)
+
+    def test_deletion_before_the_reading_reaches_peers_that_read_earlier(
+        self,
+    ):
+        async def scenario(fleet):
+            feed, store, published = (
+                fleet.daemons[0].change_feed,
+                fleet.store,
+                [],
+            )
+
+            async def record(update, source):
+                published.append(update)
+
+            feed._send_update = record
+            store.restore(store.copy())
+            revision = pack(1, store.revision)
+            entry = StoredItem(KEY, revision, b"{}")
+            peer = StoreReplica()
+            peer.apply_snapshot({KEY: entry}, revision, revision)
+            store.remove(KEY)
+            await fleet.wait_until(
+                lambda: any(u.since == 0 for u in published)
+            )
+            update = next(u for u in published if u.since == 0)
+            peer.apply(unpack_items(update.items), update.revision)
+            assert peer.items[KEY].value is None
+
+        async def run():
+            async with open_fleet() as fleet:
+                await scenario(fleet)
+
+        curio.run(run)
