Restart grace periods when the store returns from a copy again

What a copy lacks, endpoints and evacuations, has a grace period until it is written again. A second return before that did not extend it, since the second copy lacks the same and reports no further deletion. So an evacuation ended, and an endpoint was dropped, soon after the second return or while the store was away. Found by review in a test fleet with 1.5 s between the returns.

A new epoch now restarts all pending grace periods. They still end on time if the store is away again without having returned in between.

test_second_return_restarts_the_grace_periods failed before.

--- a/carawayvale/catalogue/builder.py
+++ b/carawayvale/catalogue/builder.py
@@ -118,6 +118,13 @@
             self.store_returned_s = now_s
         self.confirmed_s = max(self.confirmed_s, now_s)
 
+    def _record_restored(self, now_s: float) -> None:
+        """Record a return from a copy, which restarts all grace periods."""
+        self.store_returned_s = self.restored_s = now_s
+        for ends_s in (self.grace_until_s, self.evacuation_ends_s):
+            for name in ends_s:
+                ends_s[name] = now_s + STORE_RETURN_GRACE_S
+
     def apply(
         self, items: Iterable[StoredItem], now_s: float
     ) -> list[StoredItem]:
@@ -151,7 +158,7 @@
         """Record a revision, and with a new epoch the store's return."""
         is_restored = find_epoch(revision) > find_epoch(self.revision)
         if is_restored and self.revision:
-            self.store_returned_s = self.restored_s = now_s
+            self._record_restored(now_s)
         self.revision = max(self.revision, revision)
 
     def _replace_unreadable(self, item: StoredItem) -> CatalogueUpdate | None:
--- a/carawayvale/catalogue/tests/test_builder.py
+++ b/carawayvale/catalogue/tests/test_builder.py
@@ -302,6 +302,23 @@
         builder.drop_expired(10.5 + STORE_RETURN_GRACE_S)
         assert builder.take_catalogue().evacuated == frozenset()
 
+    def test_second_return_restarts_the_grace_periods(self):
+        catalogue = self.make_catalogue()
+        builder, key = catalogue.builder, "op/evacuate/zrh-a"
+        catalogue.revision = 50
+        catalogue.apply(EvacuationUpdate("zrh-a", True), 10.1, key)
+        catalogue.revision = StorePosition(1, 0).pack()
+        catalogue.apply(EvacuationUpdate("zrh-a", False), 10.5, key)
+        catalogue.apply(EndpointUpdate("i-1", None), 10.5)
+        catalogue.revision = StorePosition(2, 0).pack()
+        catalogue.apply(EndpointUpdate("i-2", None), 12.0)
+        builder.drop_expired(11.9 + STORE_RETURN_GRACE_S)
+        assert "i-1" in catalogue.endpoints
+        assert builder.evacuated == {"zrh-a"}
+        builder.drop_expired(12.0 + STORE_RETURN_GRACE_S)
+        assert catalogue.endpoints == {}
+        assert builder.evacuated == set()
+
     def test_evacuation_that_is_written_again_stays(self):
         catalogue = self.make_catalogue()
         builder, key = catalogue.builder, "op/evacuate/zrh-a"
