Split the links of an instance by their jobs

No behaviour changes. The method that relayed reports is now the function relay_reports; ActiveLink and Traffic are exported from their new modules.

Tests of links, of the imports of a gateway and of a fleet of gateways: 119 passed.

--- a/carawayvale/links/__init__.py
+++ b/carawayvale/links/__init__.py
@@ -66,6 +66,10 @@
         "open_listener",
     ),
     "membership": ("Membership",),
+    "link_sessions": (
+        "ActiveLink",
+        "serve_link",
+    ),
     "messages": (
         "BadMessage",
         "Challenge",
@@ -95,12 +99,15 @@
         "sign_handshake",
         "unpack_message",
     ),
+    "peer_traffic": ("Traffic",),
     "peers": (
-        "ActiveLink",
         "PeerCallbacks",
         "PeerTable",
         "register_message_handler",
-        "Traffic",
+    ),
+    "report_gossip": (
+        "relay_reports",
+        "send_reports",
     ),
     "tls": (
         "load_authority",
--- a/carawayvale/links/document_handlers.py
+++ b/carawayvale/links/document_handlers.py
@@ -12,6 +12,7 @@
 from carawayvale.links.peer_link import PeerLink
 from carawayvale.links.peers import PeerTable
 from carawayvale.links.peers import register_message_handler
+from carawayvale.links.report_gossip import relay_reports
 from carawayvale.telemetry.logs import log_event
 
 SECTIONS_TIMEOUT_S = 2.0
@@ -63,7 +64,7 @@
     """Merge the reports of a peer, and relay those that are new."""
     unseen = table.callbacks.merge_reports(link.peer, message)
     if unseen is not None:
-        await table.relay_reports(unseen, link.peer.name)
+        await relay_reports(table, unseen, link.peer.name)
 
 
 @register_message_handler(SectionsRequest)
--- a/carawayvale/links/peers.py
+++ b/carawayvale/links/peers.py
@@ -16,23 +16,23 @@
 from carawayvale.contracts.clock import Clock
 from carawayvale.links.http import connect
 from carawayvale.links.http import ConnectFailed
+from carawayvale.links.link_sessions import ActiveLink
+from carawayvale.links.link_sessions import serve_link
 from carawayvale.links.membership import HEARTBEAT_INTERVAL_S
 from carawayvale.links.membership import Membership
 from carawayvale.links.messages import BadMessage
 from carawayvale.links.messages import Heartbeat
 from carawayvale.links.messages import MemberRecord
-from carawayvale.links.messages import Members
 from carawayvale.links.messages import ProbeRequest
 from carawayvale.links.messages import UnknownMessage
 from carawayvale.links.messages import Updates
 from carawayvale.links.peer_link import accept_link
-from carawayvale.links.peer_link import HANDSHAKE_TIMEOUT_S
-from carawayvale.links.peer_link import LinkBroken
-from carawayvale.links.peer_link import LinkClosed
-from carawayvale.links.peer_link import LinkRefused
 from carawayvale.links.peer_link import open_link
 from carawayvale.links.peer_link import pack_message
 from carawayvale.links.peer_link import PeerLink
+from carawayvale.links.peer_traffic import NO_TRAFFIC
+from carawayvale.links.peer_traffic import Traffic
+from carawayvale.links.report_gossip import send_reports
 from carawayvale.links.topology import choose_neighbours
 from carawayvale.links.topology import choose_redials
 from carawayvale.telemetry.logs import log_event
@@ -46,7 +46,6 @@
 REDIAL_INTERVAL_S = 2.0
 FALLBACK_DIAL_DELAY_S = 1.0
 MIN_LINK_AGE_S = 3.0
-RELAY_FANOUT = 3
 MAX_UPDATES_PER_MESSAGE = 64
 PROBE_FANOUT = 3
 
@@ -76,56 +75,6 @@
     return register
 
 
-@dataclass(frozen=True)
-class Traffic:
-    """Traffic on links, without TCP and IP headers.
-
-    :param sent_bytes: number of bytes sent.
-    :param sent_packets: number of writes, about one packet each.
-    :param received_bytes: number of bytes received.
-    :param received_packets: number of reads, about one packet each.
-    :param skipped_messages: number of received messages of unknown types.
-    """
-
-    sent_bytes: int
-    sent_packets: int
-    received_bytes: int
-    received_packets: int
-    skipped_messages: int
-
-    def add(self, link: PeerLink) -> "Traffic":
-        """Add the traffic of a link.
-
-        :param link: the link.
-        :returns: the sum.
-        """
-        return Traffic(
-            self.sent_bytes + link.sent_bytes,
-            self.sent_packets + link.sent_packets,
-            self.received_bytes + link.received_bytes,
-            self.received_packets + link.received_packets,
-            self.skipped_messages + link.skipped_messages,
-        )
-
-
-NO_TRAFFIC = Traffic(0, 0, 0, 0, 0)
-
-
-@dataclass
-class ActiveLink:
-    """A link in use.
-
-    :param link: the link.
-    :param opened_s: time at which the link was opened.
-    :param mismatch_since_s: time since which the view hash of the peer
-        differs; 0 if it is equal.
-    """
-
-    link: PeerLink
-    opened_s: float
-    mismatch_since_s: float = 0.0
-
-
 @dataclass
 class PeerCallbacks:
     """Callbacks from the links into the rest of the instance.
@@ -208,71 +157,15 @@
 
         :param sock: the accepted socket.
         """
-        await self._serve(sock, accept_link)
-
-    async def _serve(self, sock: Socket, handshake: Callable) -> None:
-        own_record = self.membership.own_record
-        try:
-            link = await curio.timeout_after(
-                HANDSHAKE_TIMEOUT_S, handshake, sock, self.key, own_record
-            )
-        except LinkRefused as error:
-            log_event("peer_refused", "WARNING", cause=str(error))
-            return
-        except (LinkBroken, BadMessage, curio.TaskTimeout) as error:
-            log_event("peer_handshake_failed", "DEBUG", cause=str(error))
-            return
-        if link.peer.name == own_record.name:
-            # With an equal incarnation, the instance dialled itself.
-            if link.peer.incarnation != own_record.incarnation:
-                log_event("name_taken", "ERROR", name=own_record.name)
-            return
-        await self._run_link(link)
+        await serve_link(self, sock, accept_link)
 
-    async def _run_link(self, link: PeerLink) -> None:
-        name = link.peer.name
-        now_s = self.clock.read()
-        old = self.links.get(name)
-        self.links[name] = ActiveLink(link, now_s)
-        if old is not None:
-            await old.link.close()
-        self.membership.receive(link.peer, now_s)
-        self.membership.record_direct_heartbeat(
-            name, link.peer.incarnation, now_s
-        )
-        await link.post(Members(tuple(self.membership.records.values())))
-        await self.update_neighbours()
-        closed = False
-        try:
-            await link.run(self._handle)
-        except LinkClosed:
-            closed = True
-        except curio.CancelledError:
-            # This process ends the link, which says nothing of the peer.
-            closed = True
-            raise
-        except BadMessage as error:
-            log_event("bad_message", "WARNING", peer=name, cause=str(error))
-        except LinkBroken as error:
-            log_event("link_broken", "DEBUG", peer=name, cause=str(error))
-        finally:
-            await self._remove_link(name, link, closed)
+    async def handle_message(self, link: PeerLink, message: Any) -> None:
+        """Pass a message to the handlers of its type.
 
-    async def _remove_link(
-        self, name: str, link: PeerLink, closed: bool
-    ) -> None:
-        self.closed_traffic = self.closed_traffic.add(link)
-        current = self.links.get(name)
-        if current is not None and current.link is link:
-            del self.links[name]
-            if not closed and not link.is_closing:
-                generation = self.membership.generation
-                self.membership.suspect_disconnected(name, self.clock.read())
-                if self.membership.generation != generation:
-                    self._log_verdict(name, "link_broken")
-        await link.sock.close()
-
-    async def _handle(self, link: PeerLink, message: Any) -> None:
+        :param link: link with the peer that sent it.
+        :param message: the message.
+        :raises BadMessage: if messages of the type have no handler.
+        """
         if isinstance(message, UnknownMessage):
             self._skip(link, message)
             return
@@ -307,9 +200,9 @@
         dead = set(self.membership.dead_s)
         unreachable = self.membership.advance(now_s)
         for name in self.membership.suspected_s.keys() - suspected:
-            self._log_verdict(name, "not_heard")
+            self.log_verdict(name, "not_heard")
         for name in self.membership.dead_s.keys() - dead:
-            self._log_verdict(name, "not_refuted")
+            self.log_verdict(name, "not_refuted")
         if self.membership.pauses != pauses:
             log_event("pause_noticed", "WARNING")
         for name in unreachable:
@@ -324,10 +217,14 @@
         reports_due = now_s - self.last_report_s >= REPORT_INTERVAL_S
         if reports_due and self.callbacks.make_reports is not None:
             self.last_report_s = now_s
-            await self._send_reports()
+            await send_reports(self)
+
+    def log_verdict(self, name: str, cause: str) -> None:
+        """Log what the own failure detector made of an instance.
 
-    def _log_verdict(self, name: str, cause: str) -> None:
-        """Log what the own failure detector made of an instance."""
+        :param name: name of the instance.
+        :param cause: what made it change the member list.
+        """
         record = self.membership.records.get(name)
         if record is not None:
             log_event(
@@ -339,33 +236,6 @@
                 cause=cause,
             )
 
-    async def _send_reports(self) -> None:
-        packed: dict[str, bytes] = {}
-        for active in list(self.links.values()):
-            region = active.link.peer.region
-            if region not in packed:
-                message = self.callbacks.make_reports(region)
-                packed[region] = pack_message(message)
-            await active.link.post_packed(packed[region])
-
-    async def relay_reports(self, reports: "Reports", source: str) -> None:
-        """Gossip reports to neighbours in the region of this instance.
-
-        In a large region, three random neighbours (RELAY_FANOUT) are
-        enough: reports are repeated each second, and every instance that
-        receives a new report relays it.
-
-        :param reports: the reports.
-        :param source: name of the peer that sent the reports.
-        """
-        data = pack_message(reports)
-        links = self.list_region_links(source)
-        if not self.membership.is_full_mesh:
-            count = min(RELAY_FANOUT, len(links))
-            links = self.random.sample(links, count)
-        for link in links:
-            await link.post_packed(data)
-
     async def update_neighbours(self) -> None:
         """Update the neighbours if the member list changed.
 
@@ -428,7 +298,7 @@
             sock = await connect(address, ssl=self.ssl)
             self.dialling.discard(address)
             async with sock:
-                await self._serve(sock, open_link)
+                await serve_link(self, sock, open_link)
         except ConnectFailed:
             return
         finally:
