Split the attempts of a request from the making of its response

No behaviour changes: the methods are the same, and the former _make_attempts is RequestAttempts.run.

--- /dev/null
+++ b/carawayvale/gateway/request_attempts.py
@@ -0,0 +1,285 @@
+"""Attempt a request at endpoints in order until one responds."""
+
+from dataclasses import replace
+
+from carawayvale.catalogue.records import EndpointRecord
+from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.forwarding import OwnerUnreachable
+from carawayvale.gateway.forwarding import serve_at_owner
+from carawayvale.gateway.gateway_node import GatewayNode
+from carawayvale.gateway.owner_request import OwnerRequest
+from carawayvale.gateway.request_context import LostOwner
+from carawayvale.gateway.request_context import RequestContext
+from carawayvale.gateway.request_context import StopReason
+from carawayvale.gateway.upstream import UpstreamOutcome
+from carawayvale.gateway.upstream import UpstreamResult
+from carawayvale.steering.placement import ObjectPlacement
+from carawayvale.telemetry.logs import log_event
+
+# Maximum numbers of endpoints of the own region, and of other regions,
+# that are attempted for a response within the objective, and of
+# endpoints that are attempted for a late response.
+MAX_LOCAL_ENDPOINTS = 4
+MAX_REMOTE_ENDPOINTS = 2
+MAX_LATE_ENDPOINTS = 3
+
+# Maximum number of instances that are attempted as owner of one endpoint
+# while the ones before are unreachable.
+MAX_OWNERS = 2
+
+# Outcomes for which nothing was sent and the endpoint may be gone.
+UNAVAILABLE_OUTCOMES = frozenset(
+    {UpstreamOutcome.UNUSABLE, UpstreamOutcome.UNSENT}
+)
+
+# Outcomes with which an owner does not take a request.
+REJECTING_OUTCOMES = UNAVAILABLE_OUTCOMES | {
+    UpstreamOutcome.FULL,
+    UpstreamOutcome.SKIPPED,
+}
+
+
+def _is_accepted(result: UpstreamResult | None) -> bool:
+    """Tell whether an owner took a request."""
+    return result is not None and result.outcome not in REJECTING_OUTCOMES
+
+
+class RequestAttempts:
+    """Attempts of callers' requests at endpoints.
+
+    :param node: state of the instance.
+    """
+
+    def __init__(self, node: GatewayNode):
+        self.node = node
+
+    async def run(self, context: RequestContext) -> UpstreamResult | None:
+        """Attempt groups of endpoints in order until one responds.
+
+        Endpoints that may respond within the objective come first, of
+        the own region and then of other regions, or in reverse order
+        while the share of requests served in other regions would drop
+        too fast. Failing endpoints come next, and responses after the
+        objective last.
+
+        :param context: state of the request.
+        :returns: the result for the caller, or None.
+        """
+        placement = self._place_object(context)
+        groups = [
+            lambda: placement.local[:MAX_LOCAL_ENDPOINTS],
+            lambda: placement.first_remote[:MAX_REMOTE_ENDPOINTS],
+        ]
+        if self.node.shift_limit.requires_remote(read_boot_clock()):
+            groups.reverse()
+        for list_group in groups:
+            result = await self._attempt_endpoints(
+                context, list_group(), context.owner_request
+            )
+            if result is not None or context.no_more_attempts:
+                return result
+        with_failing = replace(context.owner_request, may_use_failing=True)
+        result = await self._attempt_endpoints(
+            context, context.skipped, with_failing
+        )
+        if result is not None or context.no_more_attempts:
+            return result
+        late = replace(with_failing, may_be_late=True)
+        candidates = self._order_late_candidates(context, placement)
+        return await self._attempt_endpoints(
+            context, candidates[:MAX_LATE_ENDPOINTS], late
+        )
+
+    def _place_object(self, context: RequestContext) -> ObjectPlacement:
+        """Order the usable endpoints for the object of a request."""
+        node = self.node
+        by_region = node.usable_endpoints.get(context.service, {})
+        allowed_regions = context.route.allowed_regions
+        if allowed_regions:
+            by_region = {
+                region: endpoints
+                for region, endpoints in by_region.items()
+                if region in allowed_regions
+            }
+        key = context.owner_request.key or context.request_id
+        return ObjectPlacement(
+            by_region, f"{context.service}|{key}", node.settings.region
+        )
+
+    def _order_late_candidates(
+        self, context: RequestContext, placement: ObjectPlacement
+    ) -> list[EndpointRecord]:
+        """Order the endpoints that may respond after the objective.
+
+        These are the full ones: first those that keep the object warm,
+        then by the time until the request would be complete. Without
+        full endpoints, the order for the object applies.
+        """
+        attempted = placement.local + placement.first_remote
+        full = [e for e in attempted if e.name in context.full]
+        choices = context.warm_up_choices
+        full.sort(
+            key=lambda e: (
+                not choices.is_choice(e.name),
+                context.full[e.name],
+            )
+        )
+        return full or placement.local or placement.remote
+
+    async def _attempt_endpoints(
+        self,
+        context: RequestContext,
+        endpoints: list[EndpointRecord],
+        owner_request: OwnerRequest,
+    ) -> UpstreamResult | None:
+        """Attempt a request at endpoints in order until one responds.
+
+        :returns: the result for the caller, or None.
+        """
+        node = self.node
+        spill = node.find_spill(context.service, owner_request.may_be_late)
+        choices = context.warm_up_choices
+        was_full = bool(context.full) and not owner_request.may_be_late
+        for endpoint in endpoints:
+            now_s = read_boot_clock()
+            if now_s >= owner_request.deadline_s:
+                context.stop_reason = StopReason.DEADLINE
+                return None
+            is_remote = endpoint.region != node.settings.region
+            if is_remote and not node.shift_limit.allows_remote(now_s):
+                continue
+            region, name = endpoint.region, endpoint.name
+            if name in context.attempted:
+                continue
+            may_warm_up = choices.may_warm_up(region, name)
+            finish_s = node.find_full(endpoint, now_s)
+            if finish_s is not None and not owner_request.may_be_late:
+                context.full[name] = finish_s
+                context.attempts.append((name, "known_full"))
+                choices.record_busy(region, name)
+                was_full = True
+                continue
+            if was_full and not spill.allows_try(now_s):
+                continue
+            owner_request = replace(owner_request, may_warm_up=may_warm_up)
+            context.current = name
+            result = await self._attempt_owners(
+                context, endpoint, owner_request
+            )
+            self._record_attempt(context, name, result)
+            if was_full:
+                spill.record(_is_accepted(result))
+            if result is None or result.outcome in UNAVAILABLE_OUTCOMES:
+                choices.record_unavailable(region, name)
+                continue
+            if result.outcome is UpstreamOutcome.FULL:
+                was_full = True
+                context.full[name] = result.finish_s
+                if result.busy:
+                    choices.record_busy(region, name)
+                    node.record_full(endpoint, result.finish_s)
+                continue
+            if result.outcome is UpstreamOutcome.SKIPPED:
+                context.skipped.append(endpoint)
+                continue
+            node.shift_limit.record(is_remote, now_s)
+            context.attempted.append(name)
+            if self._evaluate_result(context, result):
+                return result
+            if context.no_more_attempts:
+                return context.fallback
+        return None
+
+    def _record_attempt(
+        self, context: RequestContext, name: str, result: UpstreamResult | None
+    ) -> None:
+        outcome = result.outcome.value if result else "no_owner"
+        context.current = ""
+        context.attempts.append((name, outcome))
+        self.node.observer.count_attempt(context.route.rank, outcome)
+
+    async def _attempt_owners(
+        self,
+        context: RequestContext,
+        endpoint: EndpointRecord,
+        owner_request: OwnerRequest,
+    ) -> UpstreamResult | None:
+        """Send a request to the first reachable owner of an endpoint.
+
+        :returns: the result; None if no owner could be reached.
+        """
+        owners = self.node.list_owners(endpoint, context.route.allowed_regions)
+        for owner in owners[:MAX_OWNERS]:
+            try:
+                result = await serve_at_owner(
+                    self.node, owner, owner_request, endpoint.name
+                )
+                if result.outcome is UpstreamOutcome.OWNER_LOST:
+                    state = self.node.describe_state(owner)
+                    context.lost_owners.append(LostOwner(owner, state))
+                return result
+            except OwnerUnreachable as error:
+                self.node.back_off(owner)
+                log_event(
+                    "owner_unreachable",
+                    "WARNING",
+                    owner=owner,
+                    endpoint=endpoint.name,
+                    cause=str(error),
+                )
+        return None
+
+    def _evaluate_result(
+        self, context: RequestContext, result: UpstreamResult
+    ) -> bool:
+        """Decide whether a result is final or the request may be retried.
+
+        :returns: whether the result is returned to the caller.
+        """
+        idempotent = context.route.idempotent
+        if result.outcome is UpstreamOutcome.ANSWERED:
+            # The error response of a healthy endpoint is final: another
+            # endpoint would return the same error.
+            if result.is_success or not idempotent or not result.failing:
+                return True
+            context.fallback = result
+        elif result.outcome is not UpstreamOutcome.NOT_RUN:
+            context.may_have_run = True
+        self._log_failed_attempt(context, result)
+        context.stop_reason = self._find_stop_reason(context, result)
+        return False
+
+    def _find_stop_reason(
+        self, context: RequestContext, result: UpstreamResult
+    ) -> StopReason | None:
+        """Decide whether a request may be retried.
+
+        A retry is deducted from the retry budget of the service.
+
+        :returns: why it may not be retried; None if it may.
+        """
+        if context.may_have_run and not context.route.idempotent:
+            return StopReason.NOT_IDEMPOTENT
+        if result.outcome is UpstreamOutcome.LATE:
+            return StopReason.DEADLINE
+        if len(context.attempted) >= context.route.max_attempts:
+            return StopReason.ATTEMPT_LIMIT
+        instances = len(self.node.membership.records)
+        budget = self.node.find_retry_budget(context.service)
+        if not budget.spend(read_boot_clock(), instances):
+            return StopReason.RETRY_BUDGET
+        return None
+
+    def _log_failed_attempt(
+        self, context: RequestContext, result: UpstreamResult
+    ) -> None:
+        log_event(
+            "attempt_failed",
+            request=context.request_id,
+            route=context.route.name,
+            endpoint=context.attempted[-1],
+            outcome=result.outcome.value,
+            status=result.status,
+            lost_owners=context.format_lost_owners(),
+            cause=result.cause,
+        )
