Keep starting instances out of the leaving ones

While no serving instance may handle a request, the leaving ones do. The idle instances were listed for that, and a starting one is idle as well: it has no endpoints yet, answers that it cannot use the endpoint, and the request is refused although a leaving instance would have served it. In a roll with two leaving and three starting instances, a starting one was first for seven of eight endpoints (review, by a script).

The record of a starting instance has version 0, since it has announced nothing yet; one that leaves has announced that it joined before.

test_starting_instance_is_not_taken_for_a_leaving_one failed before.

--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -291,7 +291,7 @@
 
     def _list_leaving(self, endpoint: EndpointRecord) -> list[str]:
         """List the leaving instances, those near an endpoint first."""
-        leaving = self.membership.list_idle()
+        leaving = self.membership.list_leaving()
         leaving.sort(
             key=lambda record: (
                 record.region != endpoint.region,
--- a/carawayvale/links/membership.py
+++ b/carawayvale/links/membership.py
@@ -365,15 +365,18 @@
         idle = self.idle_precedence.get(record.name)
         return idle is not None and record.precedence[:2] == idle[:2]
 
-    def list_idle(self) -> list[MemberRecord]:
-        """List the instances that are about to leave or not ready yet.
+    def list_leaving(self) -> list[MemberRecord]:
+        """List the instances that served and accept no new requests now.
+
+        An instance that is starting is idle as well, but has the first
+        version of its record.
 
         :returns: records of all regions.
         """
         return [
             record
             for record in self.records.values()
-            if record.state is MemberState.IDLE
+            if record.state is MemberState.IDLE and record.version > 0
         ]
 
     @property
--- a/carawayvale/links/tests/test_membership.py
+++ b/carawayvale/links/tests/test_membership.py
@@ -352,3 +352,17 @@
         remaining.suspect("e2", 0.0)
         serving = [record.name for record in remaining.list_serving()]
         assert serving == ["e1", "e2"]
+
+
+class TestLeavingInstances:
+    def test_starting_instance_is_not_taken_for_a_leaving_one(self):
+        starting = replace(make_record("e2"), state=MemberState.IDLE)
+        leaving = Membership(
+            replace(make_record("e3"), state=MemberState.IDLE)
+        )
+        leaving.join()
+        leaving.leave()
+        membership = Membership(make_record("e1"))
+        membership.receive(starting, 0.0)
+        membership.receive(leaving.own_record, 0.0)
+        assert [r.name for r in membership.list_leaving()] == ["e3"]
