Don't let the idle timeout end a run in progress

Callers whose request took longer than the idle timeout and its margin got no response: the connection was closed, and the run was cancelled. A reviewer saw it with idle_timeout_s=0.5 and a run of 3 s, which was cut after 1.5 s with 0 bytes sent.

The read timeout of an idle connection also ran while requests were in progress. At its end the reading task ended, and the request counted as left by its caller.

The timeout now ends the connection only when no request is in progress, and the idle time counts from the end of the last response. A request stays in the pipeline until its response is sent, so a response that is being sent isn't idle time either, and a request that is not idempotent starts after the response before it is sent.

The three tests of TestIdleTimeout failed before the change. They and the other tests of the gateway pass with it.

--- a/carawayvale/gateway/server.py
+++ b/carawayvale/gateway/server.py
@@ -17,6 +17,7 @@
 import h11
 
 from carawayvale.catalogue.records import RequestLimits
+from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.http_messages import Response
 from carawayvale.gateway.request_parser import encode_response
@@ -105,6 +106,7 @@
         self.parser = RequestParser(server.limits)
         self.pipeline: deque[OpenRequest] = deque()
         self.changed = curio.Event()
+        self.idle_since_s = read_boot_clock()
         self.input_ended = False
         self.error_status = 0
 
@@ -131,9 +133,7 @@
                 if len(self.pipeline) >= PIPELINE_DEPTH:
                     await curio.sleep(PIPELINE_POLL_S)
                     continue
-                data = await curio.timeout_after(
-                    self._find_timeout(), self.sock.recv, READ_BYTES
-                )
+                data = await self._receive()
                 if not data:
                     break
                 self.parser.receive(data)
@@ -150,11 +150,26 @@
         self.input_ended = True
         await self.changed.set()
 
+    async def _receive(self) -> bytes:
+        """Read from the socket, as long as it takes during a request."""
+        while True:
+            try:
+                return await curio.timeout_after(
+                    self._find_timeout(), self.sock.recv, READ_BYTES
+                )
+            except curio.TaskTimeout:
+                if not self.parser.is_idle or self._find_timeout() <= 0:
+                    raise
+
     def _find_timeout(self) -> float:
+        """Time until the next check of whether the connection is idle."""
         limits = self.server.limits
         if not self.parser.is_idle:
             return limits.header_timeout_s
-        return limits.idle_timeout_s + IDLE_MARGIN_S
+        timeout_s = limits.idle_timeout_s + IDLE_MARGIN_S
+        if self.pipeline:
+            return timeout_s
+        return max(0.0, self.idle_since_s + timeout_s - read_boot_clock())
 
     async def _start_requests(self) -> None:
         while len(self.pipeline) < PIPELINE_DEPTH and not self.server.stopped:
@@ -215,9 +230,8 @@
         response = await self._await_response(open_request)
         if response is None:
             return False
-        self.pipeline.popleft()
         last = self.parser.ended or self.server.closing
-        close = response.close or (last and not self.pipeline)
+        close = response.close or (last and len(self.pipeline) == 1)
         response = Response(
             response.status, response.headers, response.body, close
         )
@@ -226,6 +240,8 @@
                 self.parser.encode(response, open_request.request)
             )
         finally:
+            self.pipeline.popleft()
+            self.idle_since_s = read_boot_clock()
             self.server.open_requests -= 1
         ended = self.parser.ended and not self.pipeline
         return sent and not close and not ended
--- a/carawayvale/gateway/tests/test_server.py
+++ b/carawayvale/gateway/tests/test_server.py
@@ -231,6 +231,53 @@
         run_scenario(scenario, RequestLimits(idle_timeout_s=-0.95))
 
 
+class TestIdleTimeout:
+    """The idle timeout applies only between requests."""
+
+    def test_long_request_is_answered(self):
+        async def scenario(gated, client):
+            await client.sendall(GET % 1)
+            await wait_until(lambda: gated.started == ["/1"])
+            await curio.sleep(0.4)
+            assert gated.cancelled == []
+            await gated.release("/1")
+            assert await read_bodies(client, 1) == [b"/1"]
+            assert await client.recv(65536) == b""
+
+        run_scenario(scenario, RequestLimits(idle_timeout_s=-0.9))
+
+    def test_idle_time_counts_from_the_last_response(self):
+        async def scenario(gated, client):
+            await client.sendall(GET % 1)
+            await wait_until(lambda: gated.started == ["/1"])
+            await curio.sleep(0.8)
+            await gated.release("/1")
+            assert await read_bodies(client, 1) == [b"/1"]
+            await curio.sleep(0.6)
+            await client.sendall(GET % 2)
+            await gated.release("/2")
+            assert await read_bodies(client, 1) == [b"/2"]
+
+        run_scenario(scenario, RequestLimits(idle_timeout_s=0.0))
+
+    def test_response_that_is_being_sent_is_not_idle(self):
+        async def scenario(gated, client):
+            gated.body = b"x" * LARGE_BODY_BYTES
+            await client.sendall(GET % 1)
+            await gated.release("/1")
+            await client.recv(1)
+            await curio.sleep(0.6)
+            received = 1
+            while received < LARGE_BODY_BYTES:
+                received += len(await client.recv(1 << 20))
+            gated.body = b""
+            await client.sendall(GET % 2)
+            await gated.release("/2")
+            assert b"/2" in await read_bodies(client, 1)
+
+        run_scenario(scenario, RequestLimits(idle_timeout_s=-0.7))
+
+
 class TestLastRequest:
     CLOSING = b"GET /1 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
 
