--- a/carawayvale/gateway/tests/test_server.py
+++ b/carawayvale/gateway/tests/test_server.py
@@ -295,6 +295,30 @@
         run_scenario(scenario)
 
 
+class TestClosing:
+    """A connection that closes after a response while requests follow."""
+
+    BODY_BYTES = 400_000
+
+    def test_late_reader_gets_the_whole_last_response(self):
+        async def scenario(gated, client):
+            gated.body = b"x" * self.BODY_BYTES
+            await client.sendall(TestLastRequest.CLOSING)
+            await wait_until(lambda: gated.started == ["/1"])
+            await client.sendall(POST % 2)
+            await gated.release("/1")
+            await curio.sleep(0.1)
+            await client.sendall(POST % 3)
+            await curio.sleep(0.4)
+            data = b""
+            while piece := await client.recv(65536):
+                data += piece
+            assert len(data.split(b"\r\n\r\n", 1)[1]) == self.BODY_BYTES
+            assert gated.started == ["/1"]
+
+        run_scenario(scenario)
+
+
 class TestEncoding:
     def test_response_is_encoded_by_the_connection_that_parsed(
         self, monkeypatch
