--- a/carawayvale/steering/reachability.py
+++ b/carawayvale/steering/reachability.py
@@ -88,7 +88,6 @@
 
     :param failed_s: time of the latest failed connection attempt, by
         endpoint, since the latest success.
-    :param reached_s: time of the latest connection that was opened.
     :param next_round_s: time from which the next round may start.
     :param partitioned_s: time since which the instance is partitioned;
         None if it is not.
@@ -100,7 +99,6 @@
     """
 
     failed_s: dict[str, float] = field(default_factory=dict)
-    reached_s: float = float("-inf")
     next_round_s: float = 0.0
     partitioned_s: float | None = None
 
@@ -119,7 +117,6 @@
         if not reached:
             self.failed_s[name] = now_s
             return
-        self.reached_s = now_s
         self.failed_s.clear()
 
     def needs_round(self, now_s: float) -> bool:
@@ -163,7 +160,6 @@
     def _record_reached(self, now_s: float) -> ReachabilityChange | None:
         was_partitioned = self.is_partitioned
         self.partitioned_s = None
-        self.reached_s = now_s
         self.failed_s.clear()
         self.next_round_s = now_s + ROUND_INTERVAL_S
         return ReachabilityChange.REACHED if was_partitioned else None
