Log and count the rate limits that endpoints name

An endpoint that named a limit got several times as many requests, and no line showed that it named one. Each instance that hears a limit, from the endpoint or from the owner that passes the response on, now logs it once a second with the requests that it sent there itself. So one owner that sends too much, several senders and a limit that was not heard look different.

Nothing obeys the limit yet; no decision is changed.

--- a/carawayvale/catalogue/header_names.py
+++ b/carawayvale/catalogue/header_names.py
@@ -16,6 +16,8 @@
     :param endpoint: the endpoint that responded to a health check.
     :param load: numbers of running and waiting requests and of slots.
     :param cold_ms: how long the endpoint stays cold, in milliseconds.
+    :param rate_limit: requests per second that the endpoint takes from
+        all instances together.
     """
 
     request_id: bytes
@@ -27,3 +29,4 @@
     endpoint: bytes
     load: bytes
     cold_ms: bytes
+    rate_limit: bytes
--- /dev/null
+++ b/carawayvale/gateway/endpoint_notices.py
@@ -0,0 +1,109 @@
+"""Decode and apply what an endpoint says of itself in its responses."""
+
+from dataclasses import dataclass
+import re
+
+from carawayvale.catalogue.header_names import HeaderNames
+from carawayvale.catalogue.records import EndpointRecord
+from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.observer import RequestObserver
+from carawayvale.gateway.upstream import HTTP_MISDIRECTED
+from carawayvale.gateway.upstream import UpstreamOutcome
+from carawayvale.gateway.upstream import UpstreamResult
+from carawayvale.links.http import find_header
+from carawayvale.steering.stated_limits import StatedLimits
+
+DECIMAL_NUMBER = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
+
+
+@dataclass(frozen=True)
+class EndpointNotice:
+    """What an endpoint says of itself in one response.
+
+    :param rate_limit: requests per second that it takes from all instances
+        together; None if it names none.
+    :param is_complete: whether the endpoint would have named a limit if it
+        had one. A response to a request that was not run may lack it.
+    """
+
+    rate_limit: float | None = None
+    is_complete: bool = False
+
+
+def parse_decimal(value: bytes | None) -> float | None:
+    """Parse a decimal number without sign and exponent.
+
+    :param value: the text, or None.
+    :returns: the number; None if the text is missing or malformed.
+
+    >>> parse_decimal(b"10.5"), parse_decimal(b"-1"), parse_decimal(b"nan")
+    (10.5, None, None)
+    """
+    if value is None or not DECIMAL_NUMBER.fullmatch(value.strip()):
+        return None
+    return float(value)
+
+
+def decode_notice(
+    result: UpstreamResult, header_names: HeaderNames
+) -> EndpointNotice | None:
+    """Decode what an endpoint says of itself in the result of an attempt.
+
+    :param result: the result.
+    :param header_names: names of HTTP headers.
+    :returns: the notice; None if the result has no response of the
+        endpoint that the request was sent to.
+    """
+    answered = result.outcome is UpstreamOutcome.ANSWERED
+    not_run = result.outcome is UpstreamOutcome.NOT_RUN
+    if not answered and not not_run or result.status == HTTP_MISDIRECTED:
+        return None
+    value = find_header(result.headers, header_names.rate_limit)
+    rate_limit = parse_decimal(value)
+    is_complete = answered and (value is None or rate_limit is not None)
+    return EndpointNotice(rate_limit, is_complete)
+
+
+class EndpointNotices:
+    """Apply the notices of all endpoints that one instance hears of.
+
+    :param header_names: names of HTTP headers.
+    :param observer: records metrics and logs.
+    """
+
+    def __init__(self, header_names: HeaderNames, observer: RequestObserver):
+        self.header_names = header_names
+        self.observer = observer
+        self.limits = StatedLimits()
+
+    def record(
+        self, endpoint: EndpointRecord, result: UpstreamResult, owner: str = ""
+    ) -> None:
+        """Apply the notice in the result of an attempt, if there is one.
+
+        :param endpoint: the endpoint.
+        :param result: the result.
+        :param owner: name of the instance that passed the result on; empty
+            if this instance sent the request to the endpoint.
+        """
+        notice = decode_notice(result, self.header_names)
+        if notice is None:
+            return
+        now_s = read_boot_clock()
+        limit = self.limits.find(endpoint)
+        old_rate = limit.rate
+        if notice.rate_limit is not None:
+            limit.record_named(notice.rate_limit, now_s)
+        elif notice.is_complete:
+            limit.record_unnamed(now_s)
+        if limit.needs_log(old_rate, now_s):
+            self.observer.record_limit(
+                endpoint.name, limit.rate, limit.count_sent(now_s), owner
+            )
+
+    def forget(self, name: str) -> None:
+        """Forget the notices of an endpoint that is gone.
+
+        :param name: name of the endpoint.
+        """
+        self.limits.forget(name)
--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -9,6 +9,7 @@
 
 import curio
 
+from carawayvale.catalogue.records import EndpointRecord
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.forward_table import ForwardTable
@@ -281,19 +282,22 @@
 
 
 async def serve_at_owner(
-    node: GatewayNode, owner: str, owner_request: OwnerRequest, endpoint: str
+    node: GatewayNode,
+    owner: str,
+    owner_request: OwnerRequest,
+    endpoint: EndpointRecord,
 ) -> UpstreamResult:
     """Serve a request at the owner of an endpoint.
 
     :param node: state of this instance.
     :param owner: name of the owner, which may be this instance.
     :param owner_request: the request and the parameters of the attempt.
-    :param endpoint: name of the endpoint.
+    :param endpoint: the endpoint.
     :returns: the result.
     :raises OwnerUnreachable: if the owner cannot be reached.
     """
     if owner == node.settings.name:
-        owned = node.find_owned(endpoint)
+        owned = node.find_owned(endpoint.name)
         if owned is None:
             return UpstreamResult(UpstreamOutcome.UNUSABLE)
         return await owned.serve(owner_request)
@@ -301,10 +305,12 @@
     if address is None:
         raise OwnerUnreachable(owner)
     process = OwnerProcess(owner, node.membership.records[owner].incarnation)
-    return await forward_request(
+    result = await forward_request(
         node.peer_pools.find(address),
         owner_request,
-        endpoint,
+        endpoint.name,
         node.forwards,
         process,
     )
+    node.notices.record(endpoint, result, owner)
+    return result
--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -14,6 +14,7 @@
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.contracts.hashing import hash_text
+from carawayvale.gateway.endpoint_notices import EndpointNotices
 from carawayvale.gateway.forward_table import ForwardTable
 from carawayvale.gateway.observer import RequestObserver
 from carawayvale.gateway.owned_endpoint import OwnedEndpoint
@@ -98,6 +99,7 @@
         self.configured_s = read_boot_clock()
         self.members_changed_s = self.configured_s
         self.observer = RequestObserver()
+        self.notices = EndpointNotices(header_names, self.observer)
 
     @property
     def is_ready(self) -> bool:
@@ -136,6 +138,8 @@
             self.shift_limit.suspend(now_s + self.settings.bounds.stable_s)
         if old.endpoints.keys() != catalogue.endpoints.keys():
             self.invalidate_owners()
+            for name in old.endpoints.keys() - catalogue.endpoints.keys():
+                self.notices.forget(name)
         self._update_owned(now_s)
 
     def _group_usable_endpoints(self) -> None:
@@ -232,6 +236,7 @@
             endpoint,
             service,
             self.observer,
+            self.notices,
             lambda: self._may_repeat(service.name),
             self.reachability.record_connect,
         )
--- a/carawayvale/gateway/observer.py
+++ b/carawayvale/gateway/observer.py
@@ -154,6 +154,27 @@
             "endpoint_ejected", "WARNING", endpoint=endpoint, cause=cause
         )
 
+    def record_limit(
+        self, endpoint: str, rate: float | None, sent: int, owner: str
+    ) -> None:
+        """Log the rate limit that an endpoint names.
+
+        :param endpoint: name of the endpoint.
+        :param rate: requests per second; None if the limit has ended.
+        :param sent: requests that this instance sent to the endpoint in
+            the last seconds.
+        :param owner: name of the instance that passed the limit on; empty
+            if the endpoint named it to this instance.
+        """
+        self.metrics.count("limits_named", "heard" if owner else "named")
+        log_event(
+            "endpoint_limit",
+            endpoint=endpoint,
+            rate="none" if rate is None else rate,
+            sent=sent,
+            owner=owner or "self",
+        )
+
     def count_attempt(self, rank: int, outcome: str) -> None:
         """Count one attempt by its outcome.
 
--- a/carawayvale/gateway/owned_endpoint.py
+++ b/carawayvale/gateway/owned_endpoint.py
@@ -15,6 +15,7 @@
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.endpoint_checks import check_healthy
 from carawayvale.gateway.endpoint_checks import check_reachable
+from carawayvale.gateway.endpoint_notices import EndpointNotices
 from carawayvale.gateway.endpoint_pool import ignore_connect
 from carawayvale.gateway.endpoint_pool import RecordConnect
 from carawayvale.gateway.http_messages import Request
@@ -33,6 +34,7 @@
 from carawayvale.steering.health import HealthSignal
 from carawayvale.steering.rates import ColdRateLimit
 from carawayvale.steering.repeats import RepeatPolicy
+from carawayvale.steering.stated_limits import StatedLimit
 from carawayvale.telemetry.logs import log_event
 
 MIN_CHECK_INTERVAL_S = 1.0
@@ -97,6 +99,7 @@
     :param endpoint: the endpoint.
     :param service: service of the endpoint.
     :param observer: records metrics and logs of the requests.
+    :param notices: applies what endpoints say of themselves.
     :param may_repeat: spends a retry of the budget for a repeat and
         returns whether there was one.
     :param record_connect: records attempts to open a connection.
@@ -108,11 +111,13 @@
         endpoint: EndpointRecord,
         service: ServiceRecord,
         observer: RequestObserver,
+        notices: EndpointNotices,
         may_repeat: Callable[[], bool],
         record_connect: RecordConnect = ignore_connect,
     ):
         self.header_names = header_names
         self.observer = observer
+        self.notices = notices
         self.may_repeat = may_repeat
         self.record_connect = record_connect
         self.repeat_policy = RepeatPolicy()
@@ -185,6 +190,11 @@
                 self.service.cold_rate, now_s
             )
 
+    @property
+    def stated_limit(self) -> StatedLimit:
+        """The rate limit that the endpoint names."""
+        return self.notices.limits.find(self.endpoint)
+
     @property
     def is_usable(self) -> bool:
         """Whether requests may be sent to the endpoint."""
@@ -316,7 +326,9 @@
         :param queued: the request as it stands in the queue.
         :returns: the result.
         """
-        remaining_s = owner_request.deadline_s - read_boot_clock()
+        now_s = read_boot_clock()
+        remaining_s = owner_request.deadline_s - now_s
+        self.stated_limit.record_send(now_s)
         self.in_flight[queued] = owner_request.request
         try:
             result = await self.upstream.send(
@@ -325,6 +337,7 @@
         finally:
             self.in_flight.pop(queued, None)
         self._record_signal(result)
+        self.notices.record(self.endpoint, result)
         self._record_run(owner_request, queued, result)
         return result
 
--- a/carawayvale/gateway/request_attempts.py
+++ b/carawayvale/gateway/request_attempts.py
@@ -212,7 +212,7 @@
         for owner in owners[:MAX_OWNERS]:
             try:
                 result = await serve_at_owner(
-                    self.node, owner, owner_request, endpoint.name
+                    self.node, owner, owner_request, endpoint
                 )
                 if result.outcome is UpstreamOutcome.OWNER_LOST:
                     state = self.node.describe_state(owner)
--- a/carawayvale/gateway/tests/test_endpoint_checks.py
+++ b/carawayvale/gateway/tests/test_endpoint_checks.py
@@ -8,6 +8,7 @@
 from carawayvale.catalogue.records import ServiceRecord
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.endpoint_notices import EndpointNotices
 from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.observer import RequestObserver
 from carawayvale.gateway.owned_endpoint import OwnedEndpoint
@@ -50,11 +51,13 @@
     """
     listener = open_port(endpoint.handle)
     server = await curio.spawn(listener.run, daemon=True)
+    observer = RequestObserver()
     owned = OwnedEndpoint(
         HEADER_NAMES,
         replace(ENDPOINT, address=listener.address),
         SERVICE,
-        RequestObserver(),
+        observer,
+        EndpointNotices(HEADER_NAMES, observer),
         lambda: False,
     )
     running = await curio.spawn(owned.serve, make_request())
--- /dev/null
+++ b/carawayvale/gateway/tests/test_endpoint_notices.py
@@ -0,0 +1,93 @@
+"""Tests of what endpoints say of themselves in their responses."""
+
+import pytest
+
+from carawayvale.gateway.endpoint_notices import decode_notice
+from carawayvale.gateway.endpoint_notices import EndpointNotice
+from carawayvale.gateway.tests.test_fleet import run_scenario
+from carawayvale.gateway.upstream import HTTP_MISDIRECTED
+from carawayvale.gateway.upstream import UpstreamOutcome
+from carawayvale.gateway.upstream import UpstreamResult
+from carawayvale.platform.headers import HEADER_NAMES
+
+MAX_CALLS = 10
+
+
+def make_result(
+    *headers, outcome=UpstreamOutcome.ANSWERED, status=200
+) -> UpstreamResult:
+    return UpstreamResult(outcome, status=status, headers=tuple(headers))
+
+
+class TestDecoding:
+    @pytest.mark.parametrize("text", (b"10.3", b" 10.3 ", b"10.30"))
+    def test_a_decimal_limit_is_decoded(self, text):
+        notice = decode_notice(
+            make_result((b"server-limit", text)), HEADER_NAMES
+        )
+        assert notice == EndpointNotice(10.3, True)
+
+    @pytest.mark.parametrize(
+        "text", (b"", b"-1", b"nan", b"inf", b"1e3", b"1,5", b"x", b"9" * 40)
+    )
+    def test_a_malformed_limit_changes_nothing(self, text):
+        notice = decode_notice(
+            make_result((b"server-limit", text)), HEADER_NAMES
+        )
+        assert notice == EndpointNotice(None, False)
+
+    def test_a_response_without_a_limit_may_end_it(self):
+        assert decode_notice(make_result(), HEADER_NAMES).is_complete
+
+    def test_a_refusal_may_name_a_limit_but_does_not_end_it(self):
+        refused = {"outcome": UpstreamOutcome.NOT_RUN, "status": 503}
+        named = make_result((b"server-limit", b"2"), **refused)
+        assert decode_notice(named, HEADER_NAMES).rate_limit == 2.0
+        unnamed = decode_notice(make_result(**refused), HEADER_NAMES)
+        assert unnamed == EndpointNotice(None, False)
+
+    @pytest.mark.parametrize(
+        ("outcome", "status"),
+        (
+            (UpstreamOutcome.NOT_RUN, HTTP_MISDIRECTED),
+            (UpstreamOutcome.FAILED, 200),
+            (UpstreamOutcome.OWNER_LOST, 0),
+        ),
+    )
+    def test_other_results_are_no_notice(self, outcome, status):
+        result = make_result(
+            (b"server-limit", b"2"), outcome=outcome, status=status
+        )
+        assert decode_notice(result, HEADER_NAMES) is None
+
+
+async def call_until_limited(fleet, daemon):
+    """Call until the instance hears a limit; a few go to the desk."""
+    for _ in range(MAX_CALLS):
+        assert (await fleet.call(daemon)).head.status == 200
+        if daemon.node.notices.limits.list_limited() == ["i-1"]:
+            return
+    raise AssertionError("no limit was heard")
+
+
+class TestHearing:
+    def test_owner_and_other_instances_hear_a_limit(self):
+        async def scenario(fleet):
+            fleet.endpoints["i-1"].rate_limit = "4.5"
+            for daemon in fleet.daemons:
+                await call_until_limited(fleet, daemon)
+
+        run_scenario(scenario, instances=3)
+
+    def test_a_limit_ends_with_its_endpoint(self):
+        async def scenario(fleet):
+            node = fleet.daemons[0].node
+            fleet.endpoints["i-1"].rate_limit = "4.5"
+            await call_until_limited(fleet, fleet.daemons[0])
+            fleet.store.remove("servers/i-1")
+            await fleet.wait_until(
+                lambda: "i-1" not in node.catalogue.endpoints
+            )
+            assert not node.notices.limits.list_limited()
+
+        run_scenario(scenario)
--- a/carawayvale/gateway/tests/test_owned_endpoint.py
+++ b/carawayvale/gateway/tests/test_owned_endpoint.py
@@ -7,6 +7,7 @@
 from carawayvale.catalogue.records import EndpointRecord
 from carawayvale.catalogue.records import ServiceRecord
 from carawayvale.contracts.address import Address
+from carawayvale.gateway.endpoint_notices import EndpointNotices
 from carawayvale.gateway.observer import RequestObserver
 from carawayvale.gateway.owned_endpoint import OwnedEndpoint
 from carawayvale.platform.headers import HEADER_NAMES
@@ -18,8 +19,10 @@
 
 
 def make_owned_endpoint(endpoint):
+    observer = RequestObserver()
+    notices = EndpointNotices(HEADER_NAMES, observer)
     return OwnedEndpoint(
-        HEADER_NAMES, endpoint, SERVICE, RequestObserver(), lambda: True
+        HEADER_NAMES, endpoint, SERVICE, observer, notices, lambda: True
     )
 
 
--- a/carawayvale/platform/headers.py
+++ b/carawayvale/platform/headers.py
@@ -12,4 +12,5 @@
     endpoint=b"x-instance-id",
     load=b"x-server-load",
     cold_ms=b"x-cold-ms",
+    rate_limit=b"server-limit",
 )
--- a/carawayvale/platform/tests/fakes.py
+++ b/carawayvale/platform/tests/fakes.py
@@ -214,6 +214,8 @@
     :param wrong_ids: number of next responses with a wrong request id.
     :param cancelled: number of requests cancelled while they ran.
     :param cold_ms: cold time reported to health checks, in milliseconds.
+    :param rate_limit: text of the rate limit that responses name; empty for
+        none.
     """
 
     name: str
@@ -224,6 +226,7 @@
     wrong_ids: int = 0
     cancelled: int = 0
     cold_ms: int = 0
+    rate_limit: str = ""
 
     async def handle(self, request: Request) -> Response:
         """Return the response to one request."""
@@ -256,5 +259,11 @@
         headers = (
             (b"x-request-id", request_id),
             (b"x-server-stamp", b"sig-" + self.name.encode()),
+            *self._list_notices(),
         )
         return Response(status, headers, b"done by " + self.name.encode())
+
+    def _list_notices(self):
+        """List the headers in which the endpoint speaks of itself."""
+        if self.rate_limit:
+            yield (b"server-limit", self.rate_limit.encode())
--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -41,6 +41,10 @@
     ),
     "service_times": ("ServiceTimes",),
     "spill": ("SpillPolicy",),
+    "stated_limits": (
+        "StatedLimit",
+        "StatedLimits",
+    ),
     "warm_up": ("WarmUpChoices",),
 }
 
--- /dev/null
+++ b/carawayvale/steering/stated_limits.py
@@ -0,0 +1,131 @@
+"""Rate limits that endpoints name in their responses.
+
+Every instance that passes a response on learns the limit, so that one
+that becomes the owner of the endpoint knows it.
+"""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from carawayvale.catalogue.records import EndpointRecord
+from carawayvale.steering.rates import WindowCounter
+
+# Length of the window in which the requests to an endpoint are counted.
+COUNT_WINDOW_S = 4.0
+
+# A limit ends with a response that does not name it, this long after the
+# last one that did.
+HOLD_S = 1.0
+
+# A limit in force is logged at most this often.
+LOG_INTERVAL_S = 1.0
+
+
+@dataclass
+class StatedLimit:
+    """The rate limit that one endpoint names, as one instance knows it.
+
+    :param rate: requests per second; None without a limit.
+    :param named_s: time at which it was last named.
+    :param logged_s: time at which it was last logged.
+    :param sent: requests that this instance sent to the endpoint.
+    """
+
+    rate: float | None = None
+    named_s: float = 0.0
+    logged_s: float = 0.0
+    sent: WindowCounter = field(
+        default_factory=lambda: WindowCounter(COUNT_WINDOW_S)
+    )
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether a limit is in force."""
+        return self.rate is not None
+
+    def record_named(self, rate: float, now_s: float) -> None:
+        """Record that a response names a limit.
+
+        :param rate: the limit in requests per second.
+        :param now_s: the time.
+        """
+        self.rate = rate
+        self.named_s = now_s
+
+    def record_unnamed(self, now_s: float) -> None:
+        """Record a response that names no limit.
+
+        :param now_s: the time.
+        """
+        if self.is_limited and now_s - self.named_s >= HOLD_S:
+            self.rate = None
+
+    def needs_log(self, old_rate: float | None, now_s: float) -> bool:
+        """Tell whether the limit is logged now.
+
+        :param old_rate: the limit before the latest response.
+        :param now_s: the time.
+        :returns: whether it began or ended, or was logged long ago.
+        """
+        changed = (old_rate is None) != (self.rate is None)
+        is_due = self.is_limited and now_s - self.logged_s >= LOG_INTERVAL_S
+        if not changed and not is_due:
+            return False
+        self.logged_s = now_s
+        return True
+
+    def record_send(self, now_s: float) -> None:
+        """Count a request that is sent to the endpoint.
+
+        :param now_s: the time.
+        """
+        self.sent.add(now_s)
+        self.sent.count(now_s)
+
+    def count_sent(self, now_s: float) -> int:
+        """Count the requests of the last COUNT_WINDOW_S.
+
+        :param now_s: the time.
+        :returns: their number.
+        """
+        return self.sent.count(now_s)
+
+
+class StatedLimits:
+    """The limits of all endpoints that one instance knows.
+
+    A limit belongs to one process of an endpoint and ends with it.
+    """
+
+    def __init__(self):
+        self._limits: dict[str, tuple[int, StatedLimit]] = {}
+
+    def find(self, endpoint: EndpointRecord) -> StatedLimit:
+        """Find the limit of an endpoint.
+
+        :param endpoint: the endpoint.
+        :returns: the limit; a new one without a rate after a restart.
+        """
+        started_ms, limit = self._limits.get(endpoint.name, (None, None))
+        if limit is None or started_ms != endpoint.started_ms:
+            limit = StatedLimit()
+            self._limits[endpoint.name] = (endpoint.started_ms, limit)
+        return limit
+
+    def forget(self, name: str) -> None:
+        """Forget the limit of an endpoint that is gone.
+
+        :param name: name of the endpoint.
+        """
+        self._limits.pop(name, None)
+
+    def list_limited(self) -> list[str]:
+        """List the endpoints with a limit.
+
+        :returns: their names.
+        """
+        return [
+            name
+            for name, (_, limit) in self._limits.items()
+            if limit.is_limited
+        ]
