Obey the rate limits that endpoints name

Cause: what an endpoint says of itself in a response was passed on to the caller and read by nobody. Admission counts slots, and an endpoint that names a rate keeps its slots.

Change: the owner's queue has the named limit beside the limit of a cold endpoint, and all starts, predictions, repeats and checks go through both. The owner is the only sender, so its count is the fleet's. All instances that pass a response on know the limit, so a new owner does too; it uses a quarter of the limit for 3 s, while the previous one may still send.

--- a/carawayvale/gateway/endpoint_checks.py
+++ b/carawayvale/gateway/endpoint_checks.py
@@ -69,6 +69,7 @@
     call = OutgoingCall("GET", owned.service.health_path, [(b"host", host)])
     passed = False
     cold_s = 0.0
+    owned.stated_limit.record_send(read_boot_clock())
     try:
         response = await owned.upstream.pool.exchange(
             call, CHECK_TIMEOUT_S, MAX_CHECK_BYTES
--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -238,6 +238,7 @@
             self.observer,
             self.notices,
             lambda: self._may_repeat(service.name),
+            lambda: self.owns(name),
             self.reachability.record_connect,
         )
         owned.blocked = endpoint.domain in self.catalogue.evacuated
@@ -245,6 +246,15 @@
         log_event("endpoint_owned", endpoint=name, service=service.name)
         return owned
 
+    def owns(self, endpoint: str) -> bool:
+        """Tell whether this instance is the owner of an endpoint.
+
+        :param endpoint: name of the endpoint.
+        :returns: whether it is the first of the candidates.
+        """
+        owners = self.ownership.owner_lists.get(endpoint)
+        return bool(owners) and owners[0] == self.settings.name
+
     def _may_repeat(self, service: str) -> bool:
         """Spend one retry of the budget for a repeat, if one is left."""
         return self.find_retry_budget(service).spend(
--- a/carawayvale/gateway/owned_endpoint.py
+++ b/carawayvale/gateway/owned_endpoint.py
@@ -102,6 +102,7 @@
     :param notices: applies what endpoints say of themselves.
     :param may_repeat: spends a retry of the budget for a repeat and
         returns whether there was one.
+    :param is_owner: tells whether this instance owns the endpoint.
     :param record_connect: records attempts to open a connection.
     """
 
@@ -113,12 +114,14 @@
         observer: RequestObserver,
         notices: EndpointNotices,
         may_repeat: Callable[[], bool],
+        is_owner: Callable[[], bool],
         record_connect: RecordConnect = ignore_connect,
     ):
         self.header_names = header_names
         self.observer = observer
         self.notices = notices
         self.may_repeat = may_repeat
+        self.is_owner = is_owner
         self.record_connect = record_connect
         self.repeat_policy = RepeatPolicy()
         self.endpoint = endpoint
@@ -179,9 +182,11 @@
 
     def _extend_cold_until(self, until_s: float, now_s: float) -> None:
         self.cold_until_s = max(self.cold_until_s, until_s)
-        self._update_cold_limit(now_s)
+        self._update_limits(now_s)
 
-    def _update_cold_limit(self, now_s: float) -> None:
+    def _update_limits(self, now_s: float) -> None:
+        limit = self.queue.stated_limit = self.stated_limit
+        limit.record_ownership(self.is_owner(), now_s)
         cold = now_s < self.cold_until_s and self.service.cold_rate > 0
         if not cold:
             self.queue.cold_limit = None
@@ -217,7 +222,7 @@
         if self.health.is_failing and not owner_request.may_use_failing:
             if not self.health.admit_sample(now_s):
                 return UpstreamResult(UpstreamOutcome.SKIPPED)
-        self._update_cold_limit(now_s)
+        self._update_limits(now_s)
         queued = QueuedRequest(
             owner_request.rank,
             owner_request.key,
@@ -280,7 +285,7 @@
         Requests that can no longer finish in time leave the queue first.
         """
         now_s = read_boot_clock()
-        self._update_cold_limit(now_s)
+        self._update_limits(now_s)
         for queued in self.queue.drop_infeasible(now_s):
             await self._notify_waiter(queued)
         while self.is_usable:
@@ -328,7 +333,7 @@
         """
         now_s = read_boot_clock()
         remaining_s = owner_request.deadline_s - now_s
-        self.stated_limit.record_send(now_s)
+        self.stated_limit.count_send(now_s)
         self.in_flight[queued] = owner_request.request
         try:
             result = await self.upstream.send(
--- a/carawayvale/gateway/tests/test_endpoint_checks.py
+++ b/carawayvale/gateway/tests/test_endpoint_checks.py
@@ -59,6 +59,7 @@
         observer,
         EndpointNotices(HEADER_NAMES, observer),
         lambda: False,
+        lambda: True,
     )
     running = await curio.spawn(owned.serve, make_request())
     while not endpoint.runs:
--- a/carawayvale/gateway/tests/test_owned_endpoint.py
+++ b/carawayvale/gateway/tests/test_owned_endpoint.py
@@ -22,7 +22,13 @@
     observer = RequestObserver()
     notices = EndpointNotices(HEADER_NAMES, observer)
     return OwnedEndpoint(
-        HEADER_NAMES, endpoint, SERVICE, observer, notices, lambda: True
+        HEADER_NAMES,
+        endpoint,
+        SERVICE,
+        observer,
+        notices,
+        lambda: True,
+        lambda: True,
     )
 
 
--- a/carawayvale/steering/admission.py
+++ b/carawayvale/steering/admission.py
@@ -16,6 +16,7 @@
 from carawayvale.steering.rates import ColdRateLimit
 from carawayvale.steering.rates import WindowCounter
 from carawayvale.steering.service_times import ServiceTimes
+from carawayvale.steering.stated_limits import StatedLimit
 
 # Service time that is assumed before the first sample, as a fraction of
 # the time left until the request's objective.
@@ -115,6 +116,7 @@
         self.waiting: list[QueuedRequest] = []
         self.service_times = ServiceTimes()
         self.cold_limit: ColdRateLimit | None = None
+        self.stated_limit = StatedLimit()
         self.late_starts = WindowCounter(LATE_WINDOW_S)
 
     @property
@@ -122,6 +124,23 @@
         """Number of requests that run or wait."""
         return len(self.running) + len(self.waiting)
 
+    @property
+    def is_limited(self) -> bool:
+        """Whether the rate of the requests is limited."""
+        return self.cold_limit is not None or self.stated_limit.is_limited
+
+    def _find_allowed_start(self, now_s: float, ahead: int) -> float:
+        """Find when the rate limits let a request start.
+
+        :param now_s: the time.
+        :param ahead: number of requests that start before it.
+        :returns: the time.
+        """
+        start_s = self.stated_limit.find_start(now_s, ahead)
+        if self.cold_limit is not None:
+            start_s = max(start_s, self.cold_limit.find_start(now_s, ahead))
+        return start_s
+
     def offer(self, request: QueuedRequest, now_s: float) -> Rejection | None:
         """Queue a request unless it would finish too late.
 
@@ -224,9 +243,7 @@
         ]
         slots_free_s += [now_s] * (self.slots - len(slots_free_s))
         heapq.heapify(slots_free_s)
-        allowed_s = now_s
-        if self.cold_limit is not None:
-            allowed_s = max(now_s, self.cold_limit.next_s)
+        ahead = 0
         for other in self.waiting:
             is_ahead = (
                 other.queue_class is queue_class and other.rank <= request.rank
@@ -236,14 +253,13 @@
                 or is_ahead
                 or queue_class is QueueClass.LATE
             ):
+                allowed_s = self._find_allowed_start(now_s, ahead)
                 start_s = max(allowed_s, heapq.heappop(slots_free_s))
                 heapq.heappush(slots_free_s, start_s + other.service_time_s)
-                if self.cold_limit is not None:
-                    allowed_s += self.cold_limit.spacing_s
-        return (
-            max(allowed_s, heapq.heappop(slots_free_s))
-            + request.service_time_s
-        )
+                ahead += 1
+        allowed_s = self._find_allowed_start(now_s, ahead)
+        start_s = max(allowed_s, heapq.heappop(slots_free_s))
+        return start_s + request.service_time_s
 
     def take(self, now_s: float) -> QueuedRequest | None:
         """Take the next request that may start.
@@ -253,7 +269,7 @@
         """
         if len(self.running) >= self.slots or not self.waiting:
             return None
-        if self.cold_limit is not None and not self.cold_limit.may_send(now_s):
+        if self._find_allowed_start(now_s, 0) > now_s:
             return None
         for request in self.waiting:
             self._update_class(request, now_s)
@@ -264,6 +280,7 @@
         request.started_s = now_s
         if request.queue_class is QueueClass.LATE:
             self.late_starts.add(now_s)
+        self.stated_limit.record_send(now_s)
         if self.cold_limit is not None:
             self.cold_limit.record_send(now_s)
         if request.key:
@@ -338,18 +355,18 @@
             )
 
     def find_next_start(self, now_s: float) -> float | None:
-        """Find when the limit of a cold endpoint lets a request start.
+        """Find when the rate limits let a waiting request start.
 
         Other starts follow an event, such as the release of a slot.
 
         :param now_s: the time.
-        :returns: the time, or None if no request waits for the limit.
+        :returns: the time, or None if no request waits for a limit.
         """
-        if not self.waiting or self.cold_limit is None:
+        if not self.waiting or not self.is_limited:
             return None
         if len(self.running) >= self.slots:
             return None
-        return max(now_s, self.cold_limit.next_s)
+        return self._find_allowed_start(now_s, 0)
 
 
 def _sort_key(request: QueuedRequest) -> tuple[QueueClass, int, float]:
--- a/carawayvale/steering/rates.py
+++ b/carawayvale/steering/rates.py
@@ -61,6 +61,15 @@
         """
         return now_s >= self.next_s
 
+    def find_start(self, now_s: float, ahead: int) -> float:
+        """Find when a request may be sent.
+
+        :param now_s: the time.
+        :param ahead: number of requests that are sent before it.
+        :returns: the time.
+        """
+        return max(now_s, self.next_s) + ahead * self.spacing_s
+
     def record_send(self, now_s: float) -> None:
         """Record that a request is sent now.
 
--- a/carawayvale/steering/repeats.py
+++ b/carawayvale/steering/repeats.py
@@ -74,9 +74,9 @@
     :param first: the request, which runs.
     :param now_s: the time.
     :returns: the repeat, which holds a slot; None without a free slot or
-        while the endpoint is cold.
+        while the rate of the requests is limited.
     """
-    if queue.waiting or queue.cold_limit is not None:
+    if queue.waiting or queue.is_limited:
         return None
     if len(queue.running) >= queue.slots:
         return None
--- a/carawayvale/steering/stated_limits.py
+++ b/carawayvale/steering/stated_limits.py
@@ -1,7 +1,10 @@
 """Rate limits that endpoints name in their responses.
 
-Every instance that passes a response on learns the limit, so that one
-that becomes the owner of the endpoint knows it.
+An endpoint in need names how many requests a second it takes from all
+instances together. Its owner is the only instance that sends to it, so the
+owner's count is that of the fleet. Every instance that passes a response on
+learns the limit, so that one that becomes the owner knows it. While the
+views of the instances may differ, a new owner uses a part of the limit.
 """
 
 from dataclasses import dataclass
@@ -17,6 +20,18 @@
 # last one that did.
 HOLD_S = 1.0
 
+# Requests of this long at the limit may be sent at once after a silence.
+BURST_S = 0.5
+
+# Time for which the previous owner may still send, and the part of the
+# limit that any other instance uses meanwhile.
+HANDOVER_S = 3.0
+HANDOVER_SHARE = 0.25
+
+# Least rate in requests per second. An endpoint that takes nothing gets a
+# request now and then, whose response tells whether that still holds.
+MIN_RATE = 0.25
+
 # A limit in force is logged at most this often.
 LOG_INTERVAL_S = 1.0
 
@@ -28,12 +43,19 @@
     :param rate: requests per second; None without a limit.
     :param named_s: time at which it was last named.
     :param logged_s: time at which it was last logged.
+    :param owned_since_s: time since which this instance owns the endpoint;
+        None if it does not.
+    :param share: part of the limit that this instance uses.
+    :param full_s: time by which all that was sent is within the limit.
     :param sent: requests that this instance sent to the endpoint.
     """
 
     rate: float | None = None
     named_s: float = 0.0
     logged_s: float = 0.0
+    owned_since_s: float | None = None
+    share: float = HANDOVER_SHARE
+    full_s: float = 0.0
     sent: WindowCounter = field(
         default_factory=lambda: WindowCounter(COUNT_WINDOW_S)
     )
@@ -43,6 +65,45 @@
         """Whether a limit is in force."""
         return self.rate is not None
 
+    @property
+    def spacing_s(self) -> float:
+        """Seconds between two requests while a limit is in force."""
+        return 1.0 / (self.share * max(MIN_RATE, self.rate or 0.0))
+
+    def record_ownership(self, is_owner: bool, now_s: float) -> None:
+        """Record whether this instance is the owner of the endpoint.
+
+        :param is_owner: whether it is, in its own view.
+        :param now_s: the time.
+        """
+        if not is_owner:
+            self.owned_since_s = None
+        elif self.owned_since_s is None:
+            self.owned_since_s = now_s
+            self.full_s = max(self.full_s, now_s + BURST_S)
+        owned_s = now_s - self.owned_since_s if is_owner else 0.0
+        self.share = 1.0 if owned_s >= HANDOVER_S else HANDOVER_SHARE
+
+    def find_start(self, now_s: float, ahead: int) -> float:
+        """Find when a request may be sent.
+
+        :param now_s: the time.
+        :param ahead: number of requests that are sent before it.
+        :returns: the time.
+        """
+        if not self.is_limited:
+            return now_s
+        full_s = max(self.full_s, now_s) + ahead * self.spacing_s
+        return max(now_s, full_s - BURST_S)
+
+    def record_send(self, now_s: float) -> None:
+        """Record that a request is sent now.
+
+        :param now_s: the time.
+        """
+        if self.is_limited:
+            self.full_s = max(self.full_s, now_s) + self.spacing_s
+
     def record_named(self, rate: float, now_s: float) -> None:
         """Record that a response names a limit.
 
@@ -74,7 +135,7 @@
         self.logged_s = now_s
         return True
 
-    def record_send(self, now_s: float) -> None:
+    def count_send(self, now_s: float) -> None:
         """Count a request that is sent to the endpoint.
 
         :param now_s: the time.
