Stop using endpoints that say in a response that they leave

Callers would see: requests go on to an endpoint that says it is leaving for as long as its entry in the store says nothing, and end with it.

A departure was known from the store only.

Change: every instance that gets or passes on such a response takes the endpoint out of use until it has started again; requests that wait there go elsewhere at once, also after an ejection. The mark outlives the entry, as a store that was away may list it again.

--- a/carawayvale/catalogue/header_names.py
+++ b/carawayvale/catalogue/header_names.py
@@ -18,6 +18,7 @@
     :param cold_ms: how long the endpoint stays cold, in milliseconds.
     :param rate_limit: requests per second that the endpoint takes from
         all instances together.
+    :param leaving: marks the responses of an endpoint that is leaving.
     """
 
     request_id: bytes
@@ -30,3 +31,4 @@
     load: bytes
     cold_ms: bytes
     rate_limit: bytes
+    leaving: bytes
--- a/carawayvale/gateway/endpoint_notices.py
+++ b/carawayvale/gateway/endpoint_notices.py
@@ -1,5 +1,6 @@
 """Decode and apply what an endpoint says of itself in its responses."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 import re
 
@@ -11,8 +12,12 @@
 from carawayvale.gateway.upstream import UpstreamOutcome
 from carawayvale.gateway.upstream import UpstreamResult
 from carawayvale.links.http import find_header
+from carawayvale.steering.departures import Departures
 from carawayvale.steering.stated_limits import StatedLimits
 
+# Value of the header that marks the responses of a leaving endpoint.
+LEAVING = b"1"
+
 DECIMAL_NUMBER = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
 
 
@@ -24,10 +29,12 @@
         together; None if it names none.
     :param is_complete: whether the endpoint would have named a limit if it
         had one. A response to a request that was not run may lack it.
+    :param leaving: whether the endpoint is leaving.
     """
 
     rate_limit: float | None = None
     is_complete: bool = False
+    leaving: bool = False
 
 
 def parse_decimal(value: bytes | None) -> float | None:
@@ -61,7 +68,8 @@
     value = find_header(result.headers, header_names.rate_limit)
     rate_limit = parse_decimal(value)
     is_complete = answered and (value is None or rate_limit is not None)
-    return EndpointNotice(rate_limit, is_complete)
+    leaving = find_header(result.headers, header_names.leaving) == LEAVING
+    return EndpointNotice(rate_limit, is_complete, leaving)
 
 
 class EndpointNotices:
@@ -69,12 +77,20 @@
 
     :param header_names: names of HTTP headers.
     :param observer: records metrics and logs.
+    :param handle_departure: called after an endpoint said that it leaves.
     """
 
-    def __init__(self, header_names: HeaderNames, observer: RequestObserver):
+    def __init__(
+        self,
+        header_names: HeaderNames,
+        observer: RequestObserver,
+        handle_departure: Callable[[], None],
+    ):
         self.header_names = header_names
         self.observer = observer
+        self.handle_departure = handle_departure
         self.limits = StatedLimits()
+        self.departures = Departures()
 
     def record(
         self, endpoint: EndpointRecord, result: UpstreamResult, owner: str = ""
@@ -89,6 +105,14 @@
         notice = decode_notice(result, self.header_names)
         if notice is None:
             return
+        self._record_limit(endpoint, notice, owner)
+        if notice.leaving and self.departures.record(endpoint):
+            self.observer.record_departure(endpoint.name, owner)
+            self.handle_departure()
+
+    def _record_limit(
+        self, endpoint: EndpointRecord, notice: EndpointNotice, owner: str
+    ) -> None:
         now_s = read_boot_clock()
         limit = self.limits.find(endpoint)
         old_rate = limit.rate
@@ -101,8 +125,8 @@
                 endpoint.name, limit.rate, limit.count_sent(now_s), owner
             )
 
-    def forget(self, name: str) -> None:
-        """Forget the notices of an endpoint that is gone.
+    def forget_limit(self, name: str) -> None:
+        """Forget the limit of an endpoint that is gone.
 
         :param name: name of the endpoint.
         """
--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -99,7 +99,9 @@
         self.configured_s = read_boot_clock()
         self.members_changed_s = self.configured_s
         self.observer = RequestObserver()
-        self.notices = EndpointNotices(header_names, self.observer)
+        self.notices = EndpointNotices(
+            header_names, self.observer, self._group_usable_endpoints
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -139,21 +141,26 @@
         if old.endpoints.keys() != catalogue.endpoints.keys():
             self.invalidate_owners()
             for name in old.endpoints.keys() - catalogue.endpoints.keys():
-                self.notices.forget(name)
+                self.notices.forget_limit(name)
         self._update_owned(now_s)
 
     def _group_usable_endpoints(self) -> None:
         """Group the endpoints that may get requests by service and region."""
         by_service: dict[str, list[EndpointRecord]] = {}
         for endpoint in self.catalogue.endpoints.values():
-            evacuated = endpoint.domain in self.catalogue.evacuated
-            if not endpoint.is_draining and not evacuated:
+            if self._accepts_requests(endpoint):
                 by_service.setdefault(endpoint.service, []).append(endpoint)
         self.usable_endpoints = {
             service: group_by_region(endpoints)
             for service, endpoints in by_service.items()
         }
 
+    def _accepts_requests(self, endpoint: EndpointRecord) -> bool:
+        """Tell whether neither endpoint nor operators end its service."""
+        evacuated = endpoint.domain in self.catalogue.evacuated
+        leaving = self.notices.departures.includes(endpoint)
+        return not (endpoint.is_draining or evacuated or leaving)
+
     def invalidate_owners(self) -> None:
         """Note that the members or the endpoints changed.
 
--- a/carawayvale/gateway/observer.py
+++ b/carawayvale/gateway/observer.py
@@ -175,6 +175,16 @@
             owner=owner or "self",
         )
 
+    def record_departure(self, endpoint: str, owner: str) -> None:
+        """Count and log that an endpoint says that it is leaving.
+
+        :param endpoint: name of the endpoint.
+        :param owner: name of the instance that passed that on; empty if the
+            endpoint told this instance.
+        """
+        self.metrics.count("departures", "heard" if owner else "told")
+        log_event("endpoint_leaving", endpoint=endpoint, owner=owner or "self")
+
     def count_attempt(self, rank: int, outcome: str) -> None:
         """Count one attempt by its outcome.
 
--- a/carawayvale/gateway/owned_endpoint.py
+++ b/carawayvale/gateway/owned_endpoint.py
@@ -205,6 +205,8 @@
         """Whether requests may be sent to the endpoint."""
         if self.endpoint.is_draining or self.blocked:
             return False
+        if self.notices.departures.includes(self.endpoint):
+            return False
         if read_boot_clock() < self.moved_until_s:
             return False
         return self.health.is_usable
@@ -344,6 +346,8 @@
         self._record_signal(result)
         self.notices.record(self.endpoint, result)
         self._record_run(owner_request, queued, result)
+        if not self.is_usable:
+            await self.notify_waiters()
         return result
 
     def _record_run(
--- a/carawayvale/gateway/tests/test_endpoint_checks.py
+++ b/carawayvale/gateway/tests/test_endpoint_checks.py
@@ -57,7 +57,7 @@
         replace(ENDPOINT, address=listener.address),
         SERVICE,
         observer,
-        EndpointNotices(HEADER_NAMES, observer),
+        EndpointNotices(HEADER_NAMES, observer, lambda: None),
         lambda: False,
         lambda: True,
     )
--- a/carawayvale/gateway/tests/test_endpoint_notices.py
+++ b/carawayvale/gateway/tests/test_endpoint_notices.py
@@ -1,5 +1,6 @@
 """Tests of what endpoints say of themselves in their responses."""
 
+import curio
 import pytest
 
 from carawayvale.gateway.endpoint_notices import decode_notice
@@ -91,3 +92,79 @@
             assert not node.notices.limits.list_limited()
 
         run_scenario(scenario)
+
+
+async def call_until_leaving(fleet, daemon, endpoint):
+    """Call until an endpoint has told the instance that it leaves."""
+    endpoint.leaving = True
+    for _ in range(MAX_CALLS):
+        runs = len(endpoint.runs)
+        assert (await fleet.call(daemon)).head.status == 200
+        if len(endpoint.runs) > runs:
+            return
+    raise AssertionError("the endpoint got no request")
+
+
+class TestLeaving:
+    def test_endpoint_that_says_it_leaves_gets_no_more_requests(self):
+        async def scenario(fleet):
+            leaving = fleet.endpoints["i-1"]
+            for daemon in fleet.daemons:
+                await call_until_leaving(fleet, daemon, leaving)
+                leaving.leaving = False
+                runs = len(leaving.runs)
+                for key in range(MAX_CALLS):
+                    response = await fleet.call(daemon, key=b"%d" % key)
+                    assert response.head.status == 200
+                assert len(leaving.runs) == runs
+                return
+
+        run_scenario(scenario, instances=2, endpoints=("i-1", "i-2"))
+
+    def test_requests_that_wait_at_a_leaving_endpoint_go_elsewhere(self):
+        async def scenario(fleet):
+            daemon = fleet.daemons[0]
+            leaving = fleet.endpoints["i-1"]
+            leaving.service_time_s = 0.04
+            for key in range(24):
+                await fleet.call(daemon, key=b"%d" % key)
+            leaving.runs.clear()
+            leaving.leaving = True
+            async with curio.TaskGroup() as group:
+                for key in range(24):
+                    await group.spawn(fleet.call(daemon, key=b"%d" % key))
+            assert all(r.head.status == 200 for r in group.results)
+            slots = leaving.entry["info"]["slots"]
+            assert 0 < len(leaving.runs) <= slots
+
+        run_scenario(scenario, endpoints=("i-1", "i-2"))
+
+    def test_restarted_endpoint_gets_requests_again(self):
+        async def scenario(fleet):
+            daemon = fleet.daemons[0]
+            endpoint = fleet.endpoints["i-1"]
+            await call_until_leaving(fleet, daemon, endpoint)
+            assert not daemon.node.usable_endpoints.get("grids")
+            endpoint.leaving = False
+            endpoint.entry["born"] += 1000
+            fleet.put_report("i-1", cold_left="0ms")
+            await fleet.wait_until(
+                lambda: daemon.node.usable_endpoints.get("grids")
+            )
+
+        run_scenario(scenario)
+
+    def test_endpoint_that_left_is_not_used_when_its_entry_is_back(self):
+        async def scenario(fleet):
+            daemon = fleet.daemons[0]
+            endpoint = fleet.endpoints["i-1"]
+            await call_until_leaving(fleet, daemon, endpoint)
+            catalogue = daemon.node.builder.endpoints
+            fleet.store.remove("servers/i-1")
+            await fleet.wait_until(lambda: "i-1" not in catalogue)
+            fleet.put_report("i-1", cold_left="0ms")
+            await fleet.wait_until(lambda: "i-1" in catalogue)
+            await curio.sleep(0.2)
+            assert not daemon.node.usable_endpoints.get("grids")
+
+        run_scenario(scenario)
--- a/carawayvale/gateway/tests/test_owned_endpoint.py
+++ b/carawayvale/gateway/tests/test_owned_endpoint.py
@@ -20,7 +20,7 @@
 
 def make_owned_endpoint(endpoint):
     observer = RequestObserver()
-    notices = EndpointNotices(HEADER_NAMES, observer)
+    notices = EndpointNotices(HEADER_NAMES, observer, lambda: None)
     return OwnedEndpoint(
         HEADER_NAMES,
         endpoint,
--- a/carawayvale/platform/headers.py
+++ b/carawayvale/platform/headers.py
@@ -13,4 +13,5 @@
     load=b"x-server-load",
     cold_ms=b"x-cold-ms",
     rate_limit=b"server-limit",
+    leaving=b"server-leaving",
 )
--- a/carawayvale/platform/tests/fakes.py
+++ b/carawayvale/platform/tests/fakes.py
@@ -216,6 +216,7 @@
     :param cold_ms: cold time reported to health checks, in milliseconds.
     :param rate_limit: text of the rate limit that responses name; empty for
         none.
+    :param leaving: whether responses tell that the endpoint is leaving.
     """
 
     name: str
@@ -227,6 +228,7 @@
     cancelled: int = 0
     cold_ms: int = 0
     rate_limit: str = ""
+    leaving: bool = False
 
     async def handle(self, request: Request) -> Response:
         """Return the response to one request."""
@@ -241,7 +243,8 @@
             return Response(200, headers)
         if self.shed:
             self.shed -= 1
-            return Response(503, ((b"x-not-executed", b"1"),))
+            not_run = (b"x-not-executed", b"1")
+            return Response(503, (not_run, *self._list_notices()))
         self.runs.append(request)
         try:
             await curio.sleep(self.service_time_s)
@@ -267,3 +270,5 @@
         """List the headers in which the endpoint speaks of itself."""
         if self.rate_limit:
             yield (b"server-limit", self.rate_limit.encode())
+        if self.leaving:
+            yield (b"server-leaving", b"1")
--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -9,6 +9,7 @@
         "QueuedRequest",
         "Rejection",
     ),
+    "departures": ("Departures",),
     "health": (
         "EndpointHealth",
         "HealthSignal",
