Send nothing to an endpoint during the pause that it asks for

Callers would see: an endpoint that refuses a request with 503 and Retry-After gets further requests at once, each of which it refuses, and each of which costs a retry of the budget.

Change: its owner sends it nothing until the pause ends: no first request, retry, repeat, waiting request or health check. The owner tells the entry how long it lasts, so a caller is sent elsewhere, or refused at once with that time if all endpoints pause.

--- a/carawayvale/catalogue/header_names.py
+++ b/carawayvale/catalogue/header_names.py
@@ -19,6 +19,8 @@
     :param rate_limit: requests per second that the endpoint takes from
         all instances together.
     :param leaving: marks the responses of an endpoint that is leaving.
+    :param pause: seconds for which an endpoint wants nothing from the
+        instance whose request it refused.
     """
 
     request_id: bytes
@@ -32,3 +34,4 @@
     cold_ms: bytes
     rate_limit: bytes
     leaving: bytes
+    pause: bytes
--- a/carawayvale/gateway/endpoint_notices.py
+++ b/carawayvale/gateway/endpoint_notices.py
@@ -15,6 +15,11 @@
 from carawayvale.steering.departures import Departures
 from carawayvale.steering.stated_limits import StatedLimits
 
+HTTP_UNAVAILABLE = 503
+
+# Longest pause that a single response can bring about.
+MAX_PAUSE_S = 600.0
+
 # Value of the header that marks the responses of a leaving endpoint.
 LEAVING = b"1"
 
@@ -30,11 +35,14 @@
     :param is_complete: whether the endpoint would have named a limit if it
         had one. A response to a request that was not run may lack it.
     :param leaving: whether the endpoint is leaving.
+    :param pause_s: seconds for which the endpoint wants nothing from the
+        instance that it refused; 0 for no such wish.
     """
 
     rate_limit: float | None = None
     is_complete: bool = False
     leaving: bool = False
+    pause_s: float = 0.0
 
 
 def parse_decimal(value: bytes | None) -> float | None:
@@ -53,23 +61,27 @@
 
 def decode_notice(
     result: UpstreamResult, header_names: HeaderNames
-) -> EndpointNotice | None:
+) -> EndpointNotice:
     """Decode what an endpoint says of itself in the result of an attempt.
 
     :param result: the result.
     :param header_names: names of HTTP headers.
-    :returns: the notice; None if the result has no response of the
+    :returns: the notice; an empty one if the result has no response of the
         endpoint that the request was sent to.
     """
     answered = result.outcome is UpstreamOutcome.ANSWERED
     not_run = result.outcome is UpstreamOutcome.NOT_RUN
     if not answered and not not_run or result.status == HTTP_MISDIRECTED:
-        return None
+        return EndpointNotice()
     value = find_header(result.headers, header_names.rate_limit)
     rate_limit = parse_decimal(value)
     is_complete = answered and (value is None or rate_limit is not None)
     leaving = find_header(result.headers, header_names.leaving) == LEAVING
-    return EndpointNotice(rate_limit, is_complete, leaving)
+    pause_s = 0.0
+    if result.status == HTTP_UNAVAILABLE:
+        text = find_header(result.headers, header_names.pause)
+        pause_s = min(MAX_PAUSE_S, parse_decimal(text) or 0.0)
+    return EndpointNotice(rate_limit, is_complete, leaving, pause_s)
 
 
 class EndpointNotices:
@@ -94,21 +106,24 @@
 
     def record(
         self, endpoint: EndpointRecord, result: UpstreamResult, owner: str = ""
-    ) -> None:
+    ) -> EndpointNotice:
         """Apply the notice in the result of an attempt, if there is one.
 
+        A pause concerns only the instance that was refused, so it is left to
+        the caller.
+
         :param endpoint: the endpoint.
         :param result: the result.
         :param owner: name of the instance that passed the result on; empty
             if this instance sent the request to the endpoint.
+        :returns: the notice; an empty one if there is none.
         """
         notice = decode_notice(result, self.header_names)
-        if notice is None:
-            return
         self._record_limit(endpoint, notice, owner)
         if notice.leaving and self.departures.record(endpoint):
             self.observer.record_departure(endpoint.name, owner)
             self.handle_departure()
+        return notice
 
     def _record_limit(
         self, endpoint: EndpointRecord, notice: EndpointNotice, owner: str
--- a/carawayvale/gateway/observer.py
+++ b/carawayvale/gateway/observer.py
@@ -185,6 +185,18 @@
         self.metrics.count("departures", "heard" if owner else "told")
         log_event("endpoint_leaving", endpoint=endpoint, owner=owner or "self")
 
+    def record_pause(
+        self, service: str, endpoint: str, pause_s: float
+    ) -> None:
+        """Count and log that an endpoint wants nothing for a while.
+
+        :param service: name of the service.
+        :param endpoint: name of the endpoint.
+        :param pause_s: length of the pause in seconds.
+        """
+        self.metrics.count("pauses", service)
+        log_event("endpoint_paused", endpoint=endpoint, pause_s=pause_s)
+
     def count_attempt(self, rank: int, outcome: str) -> None:
         """Count one attempt by its outcome.
 
--- a/carawayvale/gateway/owned_endpoint.py
+++ b/carawayvale/gateway/owned_endpoint.py
@@ -133,6 +133,7 @@
         self.in_flight: dict[QueuedRequest, Request] = {}
         self.checked_s = 0.0
         self.moved_until_s = 0.0
+        self.paused_until_s = 0.0
         self.blocked = False
         self.cold_until_s = endpoint.cold_until_s
 
@@ -155,7 +156,7 @@
             )
             self.health = EndpointHealth()
             self.queue.service_times.objects.clear()
-            self.moved_until_s = 0.0
+            self.moved_until_s = self.paused_until_s = 0.0
         self.queue.slots = endpoint.slots
         self._extend_cold_until(endpoint.cold_until_s, now_s)
 
@@ -200,9 +201,22 @@
         """The rate limit that the endpoint names."""
         return self.notices.limits.find(self.endpoint)
 
+    def find_pause(self, now_s: float) -> float:
+        """Find for how long the endpoint wants nothing from this instance.
+
+        :param now_s: the time.
+        :returns: seconds; 0 if it takes requests.
+        """
+        return max(0.0, self.paused_until_s - now_s)
+
     @property
     def is_usable(self) -> bool:
-        """Whether requests may be sent to the endpoint."""
+        """Whether requests may be sent to the endpoint now."""
+        return self.is_available and not self.find_pause(read_boot_clock())
+
+    @property
+    def is_available(self) -> bool:
+        """Whether the endpoint serves requests, apart from a pause."""
         if self.endpoint.is_draining or self.blocked:
             return False
         if self.notices.departures.includes(self.endpoint):
@@ -218,9 +232,12 @@
             attempt.
         :returns: the result.
         """
-        if not self.is_usable:
+        if not self.is_available:
             return UpstreamResult(UpstreamOutcome.UNUSABLE)
         now_s = read_boot_clock()
+        pause_s = self.find_pause(now_s)
+        if pause_s:
+            return UpstreamResult(UpstreamOutcome.FULL, pause_s)
         if self.health.is_failing and not owner_request.may_use_failing:
             if not self.health.admit_sample(now_s):
                 return UpstreamResult(UpstreamOutcome.SKIPPED)
@@ -241,8 +258,9 @@
         success = False
         try:
             if not await self._await_slot(queued):
+                pause_s = self.find_pause(read_boot_clock())
                 return UpstreamResult(
-                    UpstreamOutcome.FULL, queued.service_time_s
+                    UpstreamOutcome.FULL, pause_s + queued.service_time_s
                 )
             result = await self._send(owner_request, queued)
             success = result.is_success
@@ -344,12 +362,23 @@
         finally:
             self.in_flight.pop(queued, None)
         self._record_signal(result)
-        self.notices.record(self.endpoint, result)
+        self._record_notice(result)
         self._record_run(owner_request, queued, result)
         if not self.is_usable:
             await self.notify_waiters()
         return result
 
+    def _record_notice(self, result: UpstreamResult) -> None:
+        """Apply what the endpoint says of itself in its response."""
+        notice = self.notices.record(self.endpoint, result)
+        if not notice.pause_s:
+            return
+        until_s = read_boot_clock() + notice.pause_s
+        self.paused_until_s = max(self.paused_until_s, until_s)
+        self.observer.record_pause(
+            self.service.name, self.endpoint.name, notice.pause_s
+        )
+
     def _record_run(
         self,
         owner_request: OwnerRequest,
@@ -429,6 +458,8 @@
         :returns: whether the endpoint is ejected and its next check is
             due, or requests are overdue.
         """
+        if self.find_pause(now_s):
+            return False
         if self.health.needs_check(now_s):
             return True
         if now_s - self.checked_s < MIN_CHECK_INTERVAL_S:
--- a/carawayvale/platform/headers.py
+++ b/carawayvale/platform/headers.py
@@ -14,4 +14,5 @@
     cold_ms=b"x-cold-ms",
     rate_limit=b"server-limit",
     leaving=b"server-leaving",
+    pause=b"retry-after",
 )
