Log a fingerprint of requests with their runs

Endpoints end one after the other, and a failed run is logged with an id that is new each time that the caller sends the request, so no line tells whether they ran the same request. The fingerprint is a hash of method, host, target and body.

--- a/carawayvale/gateway/owned_endpoint.py
+++ b/carawayvale/gateway/owned_endpoint.py
@@ -18,6 +18,7 @@
 from carawayvale.gateway.endpoint_notices import EndpointNotices
 from carawayvale.gateway.endpoint_pool import ignore_connect
 from carawayvale.gateway.endpoint_pool import RecordConnect
+from carawayvale.gateway.fingerprints import make_fingerprint
 from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.observer import format_ms
 from carawayvale.gateway.observer import RequestObserver
@@ -392,13 +393,17 @@
             read_boot_clock() - queued.started_s,
             result.outcome.value,
             result.is_success,
-            lambda: self._describe_run(queued, result),
+            lambda: self._describe_run(owner_request, queued, result),
         )
 
     def _describe_run(
-        self, queued: QueuedRequest, result: UpstreamResult
+        self,
+        owner_request: OwnerRequest,
+        queued: QueuedRequest,
+        result: UpstreamResult,
     ) -> dict[str, object]:
         return {
+            "fingerprint": make_fingerprint(owner_request.request).hex(),
             "endpoint": self.endpoint.name,
             "status": result.status,
             "estimate_ms": format_ms(queued.service_time_s),
