Quarantine requests that crash the endpoints that run them

Cause: failures were held against the endpoint alone, so the request was retried at the next one and admitted whenever it came back.

Change: an owner whose connection breaks checks whether the endpoint refuses connections; then it ended, is ejected at once, and the requests that it ran are suspects, by a hash of method, host, target and body. All instances are told. A suspect that was at three crashes in a row, and was not answered at any endpoint between, is refused with 503, without being sent, until its quarantine ends; an answer anywhere clears it everywhere. One request of a caller ends at most two endpoints. What all owned endpoints share is bundled into EndpointContext.

Evidence: test_request_does_not_end_endpoint_after_endpoint: 22 crashes later than a second after the third before, 3 allowed; passes now. In test_messages an unknown code moves from 16, which is a message now, to 18.

--- /dev/null
+++ b/carawayvale/gateway/crash_reports.py
@@ -0,0 +1,121 @@
+"""Tell all instances which requests were in progress at crashes.
+
+A report goes to all linked peers, and each that has not seen it sends it on.
+"""
+
+from typing import Any
+
+from carawayvale.catalogue.records import EndpointRecord
+from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.fingerprints import make_fingerprint
+from carawayvale.gateway.http_messages import Request
+from carawayvale.gateway.observer import RequestObserver
+from carawayvale.links.crash_messages import AnswerReport
+from carawayvale.links.crash_messages import CrashReport
+from carawayvale.links.peer_link import PeerLink
+from carawayvale.links.peers import PeerTable
+from carawayvale.links.peers import register_message_handler
+from carawayvale.steering.quarantine import EndpointCrash
+from carawayvale.steering.quarantine import Quarantine
+
+
+class CrashReports:
+    """The suspects of this instance, and the reports about them.
+
+    :param instance: name of the instance.
+    :param observer: records metrics and logs.
+    """
+
+    def __init__(self, instance: str, observer: RequestObserver):
+        self.quarantine = Quarantine(instance)
+        self.observer = observer
+        self.peers: PeerTable | None = None
+
+    def attach(self, peers: PeerTable) -> None:
+        """Exchange reports with the peers of the instance.
+
+        :param peers: links with other instances.
+        """
+        self.peers = peers
+        peers.crash_reports = self
+
+    def find_wait(self, request: Request) -> float:
+        """Find how much longer a request is in quarantine.
+
+        :param request: the request.
+        :returns: seconds; 0 if the request may be sent.
+        """
+        if not self.quarantine.suspects:
+            return 0.0
+        fingerprint = make_fingerprint(request)
+        return self.quarantine.find_wait(fingerprint, read_boot_clock())
+
+    async def record_crash(
+        self, endpoint: EndpointRecord, request: Request
+    ) -> None:
+        """Record and report a crash at which a request was in progress.
+
+        :param endpoint: the endpoint.
+        :param request: the request.
+        """
+        fingerprint = make_fingerprint(request)
+        await self._apply_crash(
+            CrashReport(fingerprint, endpoint.name, endpoint.started_ms), ""
+        )
+
+    async def record_answer(self, request: Request) -> None:
+        """Record and report that an endpoint answered a request.
+
+        :param request: the request.
+        """
+        if self.quarantine.suspects:
+            await self._apply_answer(
+                AnswerReport(make_fingerprint(request)), ""
+            )
+
+    async def receive(
+        self, link: PeerLink, report: CrashReport | AnswerReport
+    ) -> None:
+        """Apply the report of a peer.
+
+        :param link: link with the peer.
+        :param report: the report.
+        """
+        await APPLY[type(report)](self, report, link.peer.name)
+
+    async def _apply_crash(self, report: CrashReport, source: str) -> None:
+        crash = EndpointCrash(report.endpoint, report.started_ms)
+        now_s = read_boot_clock()
+        fingerprint = report.fingerprint
+        if self.quarantine.record_crash(fingerprint, crash, now_s):
+            self.observer.record_crash(
+                report.endpoint,
+                fingerprint.hex(),
+                self.quarantine.find_wait(fingerprint, now_s),
+                source,
+            )
+            await self._send(report, source)
+
+    async def _apply_answer(self, report: AnswerReport, source: str) -> None:
+        if self.quarantine.record_answer(report.fingerprint):
+            await self._send(report, source)
+
+    async def _send(self, report: Any, source: str) -> None:
+        if self.peers is not None:
+            await self.peers.broadcast(report, source)
+
+
+APPLY = {
+    CrashReport: CrashReports._apply_crash,
+    AnswerReport: CrashReports._apply_answer,
+}
+
+
+@register_message_handler(CrashReport)
+@register_message_handler(AnswerReport)
+async def handle_crash_report(
+    table: PeerTable, link: PeerLink, message: CrashReport | AnswerReport
+) -> None:
+    """Apply the report of a peer to the suspects of this instance."""
+    if table.crash_reports is not None:
+        await table.crash_reports.receive(link, message)
--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -87,6 +87,7 @@
             None,
             PeerCallbacks(self._handle_member_change),
         )
+        self.node.crash_reports.attach(self.peers)
         self.store = StoreClient(settings.store, STORE_TIMEOUT_S)
         self.change_feed = ChangeFeed(
             self.store, self.peers, self._apply_items
--- a/carawayvale/gateway/endpoint_checks.py
+++ b/carawayvale/gateway/endpoint_checks.py
@@ -15,6 +15,9 @@
     from carawayvale.gateway.owned_endpoint import OwnedEndpoint
 
 CHECK_TIMEOUT_S = 0.5
+
+# The result of a request whose connection broke is held for this check.
+CRASH_CHECK_TIMEOUT_S = 0.2
 MAX_CHECK_BYTES = 65536
 
 
@@ -39,6 +42,25 @@
     await client.close()
 
 
+async def has_crashed(owned: "OwnedEndpoint") -> bool:
+    """Tell whether an endpoint ended after a connection to it broke.
+
+    The machine of an endpoint that ended refuses connections. One that does
+    not respond may be partitioned. The end of a leaving endpoint is no crash.
+
+    :param owned: the endpoint.
+    :returns: whether it ended unexpectedly.
+    """
+    if not owned.is_expected:
+        return False
+    try:
+        client = await owned.upstream.pool.open(CRASH_CHECK_TIMEOUT_S)
+    except ConnectFailed as error:
+        return isinstance(error, ConnectRefused)
+    await client.close()
+    return False
+
+
 async def restore_reachable(owned: "OwnedEndpoint") -> None:
     """Restore an ejected endpoint if it accepts a connection.
 
@@ -74,9 +96,13 @@
         response = await owned.upstream.pool.exchange(
             call, CHECK_TIMEOUT_S, MAX_CHECK_BYTES
         )
-        same_name = response.head.find(owned.header_names.endpoint) == name
+        same_name = (
+            response.head.find(owned.context.header_names.endpoint) == name
+        )
         passed = same_name and response.head.status == 200
-        cold_s = parse_cold(response.head.find(owned.header_names.cold_ms))
+        cold_s = parse_cold(
+            response.head.find(owned.context.header_names.cold_ms)
+        )
     except (ConnectionBroken, curio.TaskTimeout) as error:
         log_event(
             "check_failed",
--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -14,6 +14,8 @@
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.contracts.hashing import hash_text
+from carawayvale.gateway.crash_reports import CrashReports
+from carawayvale.gateway.endpoint_context import EndpointContext
 from carawayvale.gateway.endpoint_notices import EndpointNotices
 from carawayvale.gateway.forward_table import ForwardTable
 from carawayvale.gateway.observer import RequestObserver
@@ -102,6 +104,16 @@
         self.notices = EndpointNotices(
             header_names, self.observer, self._group_usable_endpoints
         )
+        self.crash_reports = CrashReports(settings.name, self.observer)
+        self.endpoint_context = EndpointContext(
+            header_names,
+            self.observer,
+            self.notices,
+            self.crash_reports,
+            self._may_repeat,
+            self.owns,
+            self.reachability.record_connect,
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -238,16 +250,7 @@
         service = self._find_service(endpoint)
         if service is None:
             return None
-        owned = OwnedEndpoint(
-            self.header_names,
-            endpoint,
-            service,
-            self.observer,
-            self.notices,
-            lambda: self._may_repeat(service.name),
-            lambda: self.owns(name),
-            self.reachability.record_connect,
-        )
+        owned = OwnedEndpoint(self.endpoint_context, endpoint, service)
         owned.blocked = endpoint.domain in self.catalogue.evacuated
         self.owned[name] = owned
         log_event("endpoint_owned", endpoint=name, service=service.name)
--- a/carawayvale/gateway/observer.py
+++ b/carawayvale/gateway/observer.py
@@ -185,6 +185,27 @@
         self.metrics.count("departures", "heard" if owner else "told")
         log_event("endpoint_leaving", endpoint=endpoint, owner=owner or "self")
 
+    def record_crash(
+        self, endpoint: str, fingerprint: str, wait_s: float, source: str
+    ) -> None:
+        """Count and log a crash at which a request was in progress.
+
+        :param endpoint: name of the endpoint.
+        :param fingerprint: fingerprint of the request.
+        :param wait_s: seconds for which the request is in quarantine.
+        :param source: name of the peer that reported it; empty for this
+            instance.
+        """
+        self.metrics.count("crashes", "reported" if source else "seen")
+        log_event(
+            "request_suspected",
+            "WARNING" if wait_s else "INFO",
+            fingerprint=fingerprint,
+            endpoint=endpoint,
+            quarantine_s=f"{wait_s:.1f}",
+            source=source or "self",
+        )
+
     def record_pause(
         self, service: str, endpoint: str, pause_s: float
     ) -> None:
--- a/carawayvale/gateway/owned_endpoint.py
+++ b/carawayvale/gateway/owned_endpoint.py
@@ -3,25 +3,21 @@
 Only the owner of an endpoint sends requests to it.
 """
 
-from collections.abc import Callable
 from dataclasses import replace
 
 import curio
 
-from carawayvale.catalogue.header_names import HeaderNames
 from carawayvale.catalogue.position import unpack_position
 from carawayvale.catalogue.records import EndpointRecord
 from carawayvale.catalogue.records import ServiceRecord
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.endpoint_checks import check_healthy
 from carawayvale.gateway.endpoint_checks import check_reachable
-from carawayvale.gateway.endpoint_notices import EndpointNotices
-from carawayvale.gateway.endpoint_pool import ignore_connect
-from carawayvale.gateway.endpoint_pool import RecordConnect
+from carawayvale.gateway.endpoint_checks import has_crashed
+from carawayvale.gateway.endpoint_context import EndpointContext
 from carawayvale.gateway.fingerprints import make_fingerprint
 from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.observer import format_ms
-from carawayvale.gateway.observer import RequestObserver
 from carawayvale.gateway.owner_request import OwnerRequest
 from carawayvale.gateway.repeated_exchange import RepeatedExchange
 from carawayvale.gateway.upstream import HTTP_MISDIRECTED
@@ -70,6 +66,7 @@
     UpstreamOutcome.NOT_RUN: HealthSignal.REFUSED,
     UpstreamOutcome.UNSENT: HealthSignal.UNREACHABLE,
     UpstreamOutcome.FAILED: HealthSignal.BROKEN,
+    UpstreamOutcome.CRASHED: HealthSignal.UNREACHABLE,
     UpstreamOutcome.LATE: HealthSignal.BROKEN,
 }
 
@@ -96,40 +93,24 @@
 class OwnedEndpoint:
     """Queue, health and connections of one endpoint.
 
-    :param header_names: names of HTTP headers.
+    :param context: state and callbacks of the instance.
     :param endpoint: the endpoint.
     :param service: service of the endpoint.
-    :param observer: records metrics and logs of the requests.
-    :param notices: applies what endpoints say of themselves.
-    :param may_repeat: spends a retry of the budget for a repeat and
-        returns whether there was one.
-    :param is_owner: tells whether this instance owns the endpoint.
-    :param record_connect: records attempts to open a connection.
     """
 
     def __init__(
         self,
-        header_names: HeaderNames,
+        context: EndpointContext,
         endpoint: EndpointRecord,
         service: ServiceRecord,
-        observer: RequestObserver,
-        notices: EndpointNotices,
-        may_repeat: Callable[[], bool],
-        is_owner: Callable[[], bool],
-        record_connect: RecordConnect = ignore_connect,
     ):
-        self.header_names = header_names
-        self.observer = observer
-        self.notices = notices
-        self.may_repeat = may_repeat
-        self.is_owner = is_owner
-        self.record_connect = record_connect
+        self.context = context
         self.repeat_policy = RepeatPolicy()
         self.endpoint = endpoint
         self.service = service
         self.queue = EndpointQueue(endpoint.slots)
         self.health = EndpointHealth()
-        self.upstream = Upstream(header_names, endpoint, record_connect)
+        self.upstream = self._make_upstream(endpoint)
         self.waiters: dict[QueuedRequest, SlotWaiter] = {}
         self.in_flight: dict[QueuedRequest, Request] = {}
         self.checked_s = 0.0
@@ -138,6 +119,10 @@
         self.blocked = False
         self.cold_until_s = endpoint.cold_until_s
 
+    def _make_upstream(self, endpoint: EndpointRecord) -> Upstream:
+        context = self.context
+        return Upstream(context.header_names, endpoint, context.record_connect)
+
     def update(
         self, endpoint: EndpointRecord, service: ServiceRecord, now_s: float
     ) -> None:
@@ -152,9 +137,7 @@
         self.upstream.endpoint = endpoint
         restarted = endpoint.started_ms != old.started_ms
         if endpoint.address != old.address or restarted:
-            self.upstream = Upstream(
-                self.header_names, endpoint, self.record_connect
-            )
+            self.upstream = self._make_upstream(endpoint)
             self.health = EndpointHealth()
             self.queue.service_times.objects.clear()
             self.moved_until_s = self.paused_until_s = 0.0
@@ -188,7 +171,7 @@
 
     def _update_limits(self, now_s: float) -> None:
         limit = self.queue.stated_limit = self.stated_limit
-        limit.record_ownership(self.is_owner(), now_s)
+        limit.record_ownership(self.context.owns(self.endpoint.name), now_s)
         cold = now_s < self.cold_until_s and self.service.cold_rate > 0
         if not cold:
             self.queue.cold_limit = None
@@ -200,7 +183,7 @@
     @property
     def stated_limit(self) -> StatedLimit:
         """The rate limit that the endpoint names."""
-        return self.notices.limits.find(self.endpoint)
+        return self.context.notices.limits.find(self.endpoint)
 
     def find_pause(self, now_s: float) -> float:
         """Find for how long the endpoint wants nothing from this instance.
@@ -215,12 +198,16 @@
         """Whether requests may be sent to the endpoint now."""
         return self.is_available and not self.find_pause(read_boot_clock())
 
+    @property
+    def is_expected(self) -> bool:
+        """Whether the endpoint is expected to go on serving."""
+        leaving = self.context.notices.departures.includes(self.endpoint)
+        return not (self.endpoint.is_draining or leaving)
+
     @property
     def is_available(self) -> bool:
         """Whether the endpoint serves requests, apart from a pause."""
-        if self.endpoint.is_draining or self.blocked:
-            return False
-        if self.notices.departures.includes(self.endpoint):
+        if self.blocked or not self.is_expected:
             return False
         if read_boot_clock() < self.moved_until_s:
             return False
@@ -352,16 +339,21 @@
         :param queued: the request as it stands in the queue.
         :returns: the result.
         """
+        request = owner_request.request
+        wait_s = self.context.crash_reports.find_wait(request)
+        if wait_s:
+            return UpstreamResult(UpstreamOutcome.QUARANTINED, wait_s)
         now_s = read_boot_clock()
         remaining_s = owner_request.deadline_s - now_s
         self.stated_limit.count_send(now_s)
-        self.in_flight[queued] = owner_request.request
+        self.in_flight[queued] = request
         try:
             result = await self.upstream.send(
-                owner_request.request, remaining_s, owner_request.idempotent
+                request, remaining_s, owner_request.idempotent
             )
         finally:
             self.in_flight.pop(queued, None)
+        result = await self._report_end(request, result)
         self._record_signal(result)
         self._record_notice(result)
         self._record_run(owner_request, queued, result)
@@ -369,14 +361,28 @@
             await self.notify_waiters()
         return result
 
+    async def _report_end(
+        self, request: Request, result: UpstreamResult
+    ) -> UpstreamResult:
+        """Report a crash during a request, or that it was answered.
+
+        :returns: the result, which tells whether the endpoint crashed.
+        """
+        if result.outcome is UpstreamOutcome.ANSWERED:
+            await self.context.crash_reports.record_answer(request)
+        if not result.disconnected or not await has_crashed(self):
+            return result
+        await self.context.crash_reports.record_crash(self.endpoint, request)
+        return replace(result, outcome=UpstreamOutcome.CRASHED)
+
     def _record_notice(self, result: UpstreamResult) -> None:
         """Apply what the endpoint says of itself in its response."""
-        notice = self.notices.record(self.endpoint, result)
+        notice = self.context.notices.record(self.endpoint, result)
         if not notice.pause_s:
             return
         until_s = read_boot_clock() + notice.pause_s
         self.paused_until_s = max(self.paused_until_s, until_s)
-        self.observer.record_pause(
+        self.context.observer.record_pause(
             self.service.name, self.endpoint.name, notice.pause_s
         )
 
@@ -386,9 +392,11 @@
         queued: QueuedRequest,
         result: UpstreamResult,
     ) -> None:
-        self.observer.record_run(
+        self.context.observer.record_run(
             owner_request.rank,
-            owner_request.request.find_text(self.header_names.request_id),
+            owner_request.request.find_text(
+                self.context.header_names.request_id
+            ),
             queued.started_s - queued.queued_s,
             read_boot_clock() - queued.started_s,
             result.outcome.value,
@@ -439,7 +447,7 @@
 
         :param cause: why it was ejected.
         """
-        self.observer.record_ejection(
+        self.context.observer.record_ejection(
             self.service.name, self.endpoint.name, cause
         )
 
--- a/carawayvale/gateway/page_handlers.py
+++ b/carawayvale/gateway/page_handlers.py
@@ -133,6 +133,7 @@
             "endpoints_owned": len(owned),
             "endpoints_ejected": sum(o.health.ejected for o in owned),
             "endpoints_limited": len(node.notices.limits.list_limited()),
+            "requests_suspected": len(node.crash_reports.quarantine.suspects),
             "endpoints_partitioned": int(node.reachability.is_partitioned),
             "members": len(node.membership.list_serving()),
             "members_age_s": now_s - node.members_changed_s,
--- a/carawayvale/gateway/proxy_handler.py
+++ b/carawayvale/gateway/proxy_handler.py
@@ -78,6 +78,9 @@
             WarmUpChoices(route.idempotent),
         )
         self.node.find_retry_budget(service).record_request(request.arrived_s)
+        context.quarantine_s = self.node.crash_reports.find_wait(request)
+        if context.quarantine_s:
+            return self._make_failure_response(context)
         try:
             result = await self.attempts.run(context) or context.fallback
         except curio.CancelledError:
@@ -153,15 +156,26 @@
                 },
             )
             return self._make_response(request, status)
-        retry_s = min(context.full.values(), default=MIN_RETRY_AFTER_S)
-        retry_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, retry_s))
-        reason = "full" if context.full else "no_endpoint"
+        reason = self._find_refusal_reason(context)
+        retry_s = context.quarantine_s or self._find_retry_after(context)
         failure = context.describe_failure(now_s, revision)
         fields = {"reason": reason, **failure, "retry_s": retry_s}
         self.node.observer.count_refusal(rank, reason)
         self._record_outcome(context, RequestOutcome.REFUSED, lambda: fields)
         return self._refuse(request, retry_s)
 
+    @staticmethod
+    def _find_refusal_reason(context: RequestContext) -> str:
+        if context.quarantine_s:
+            return "quarantine"
+        return "full" if context.full else "no_endpoint"
+
+    @staticmethod
+    def _find_retry_after(context: RequestContext) -> float:
+        """Find when an endpoint will have room, within the bounds."""
+        retry_s = min(context.full.values(), default=MIN_RETRY_AFTER_S)
+        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, retry_s))
+
     def _refuse_unconfigured(self, request: Request) -> Response:
         """Refuse a request because no configuration has been read."""
         retry_s = NO_CONFIGURATION_RETRY_AFTER_S
--- a/carawayvale/gateway/repeated_exchange.py
+++ b/carawayvale/gateway/repeated_exchange.py
@@ -18,10 +18,12 @@
 # counts. A result that tells that the request may have run precedes one
 # that tells that it did not.
 OUTCOME_PRECEDENCE = (
+    UpstreamOutcome.QUARANTINED,
     UpstreamOutcome.UNSENT,
     UpstreamOutcome.NOT_RUN,
     UpstreamOutcome.LATE,
     UpstreamOutcome.FAILED,
+    UpstreamOutcome.CRASHED,
     UpstreamOutcome.ANSWERED,
 )
 
@@ -104,7 +106,7 @@
             return self._count("no_slot")
         success = False
         try:
-            if not owned.may_repeat():
+            if not owned.context.may_repeat(owned.service.name):
                 return self._count("no_budget")
             result = await owned.exchange(self.owner_request, repeat)
             success = result.is_success
@@ -127,4 +129,6 @@
         self._count("slower")
 
     def _count(self, outcome: str) -> None:
-        self.owned.observer.count_repeat(self.owned.service.name, outcome)
+        self.owned.context.observer.count_repeat(
+            self.owned.service.name, outcome
+        )
--- a/carawayvale/gateway/request_attempts.py
+++ b/carawayvale/gateway/request_attempts.py
@@ -27,6 +27,9 @@
 # while the ones before are unreachable.
 MAX_OWNERS = 2
 
+# Maximum number of endpoints that crash during the attempts of one request.
+MAX_CRASHES = 2
+
 # Outcomes for which nothing was sent and the endpoint may be gone.
 UNAVAILABLE_OUTCOMES = frozenset(
     {UpstreamOutcome.UNUSABLE, UpstreamOutcome.UNSENT}
@@ -179,6 +182,10 @@
                     choices.record_busy(region, name)
                     node.record_full(endpoint, result.finish_s)
                 continue
+            if result.outcome is UpstreamOutcome.QUARANTINED:
+                context.quarantine_s = result.finish_s
+                context.stop_reason = StopReason.QUARANTINE
+                return context.fallback
             if result.outcome is UpstreamOutcome.SKIPPED:
                 context.skipped.append(endpoint)
                 continue
@@ -262,6 +269,10 @@
             return StopReason.NOT_IDEMPOTENT
         if result.outcome is UpstreamOutcome.LATE:
             return StopReason.DEADLINE
+        if result.outcome is UpstreamOutcome.CRASHED:
+            context.crashes += 1
+        if context.crashes >= MAX_CRASHES:
+            return StopReason.CRASHES
         if len(context.attempted) >= context.route.max_attempts:
             return StopReason.ATTEMPT_LIMIT
         instances = len(self.node.membership.records)
--- a/carawayvale/gateway/request_context.py
+++ b/carawayvale/gateway/request_context.py
@@ -22,6 +22,8 @@
     NOT_IDEMPOTENT = "not_idempotent"
     ATTEMPT_LIMIT = "attempt_limit"
     RETRY_BUDGET = "retry_budget"
+    CRASHES = "crashes"
+    QUARANTINE = "quarantine"
 
 
 @dataclass(frozen=True)
@@ -49,6 +51,8 @@
     :param may_have_run: whether an endpoint may have run the request.
     :param stop_reason: why no further attempt is allowed; None while one
         is.
+    :param crashes: number of attempts during which the endpoint crashed.
+    :param quarantine_s: seconds for which the request is in quarantine.
     :param attempted: names of the endpoints that got the request.
     :param full: by name of an endpoint without a free slot, the seconds
         until the request would be complete there.
@@ -70,6 +74,8 @@
     warm_up_choices: WarmUpChoices
     may_have_run: bool = False
     stop_reason: StopReason | None = None
+    crashes: int = 0
+    quarantine_s: float = 0.0
     attempted: list[str] = field(default_factory=list)
     full: dict[str, float] = field(default_factory=dict)
     skipped: list[EndpointRecord] = field(default_factory=list)
--- a/carawayvale/gateway/tests/crashing.py
+++ b/carawayvale/gateway/tests/crashing.py
@@ -48,7 +48,7 @@
 
     async def handle(self, request):
         """Return the response to one request, or crash."""
-        if request.path != DEADLY_PATH:
+        if not request.path.endswith(DEADLY_PATH):
             return await self.endpoint.handle(request)
         self.crashes_s.append(read_boot_clock())
         await curio.spawn(self.crash, daemon=True)
@@ -81,12 +81,15 @@
 
     :param fleet: the fleet.
     :param duration_s: how long it is sent again, in seconds.
+    :param options: options of the call; ``path`` ends with the deadly path.
     :returns: the responses.
     """
     end_s = read_boot_clock() + duration_s
     responses = []
     while read_boot_clock() < end_s:
         daemon = fleet.daemons[len(responses) % len(fleet.daemons)]
-        responses.append(await fleet.call(daemon, path=DEADLY_PATH, **options))
+        responses.append(
+            await fleet.call(daemon, **{"path": DEADLY_PATH, **options})
+        )
         await curio.sleep(CALL_INTERVAL_S)
     return responses
--- a/carawayvale/gateway/tests/test_crashing_requests.py
+++ b/carawayvale/gateway/tests/test_crashing_requests.py
@@ -1,6 +1,12 @@
 """Tests of requests that crash the endpoints that run them."""
 
+import curio
+
+from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.fingerprints import make_fingerprint
+from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.tests.crashing import call_deadly
+from carawayvale.gateway.tests.crashing import DEADLY_PATH
 from carawayvale.gateway.tests.crashing import start_crashing
 from carawayvale.gateway.tests.test_fleet import run_scenario
 
@@ -13,6 +19,10 @@
 KNOWN_AFTER_S = 1.0
 MAX_LATER = 3
 
+# Longest time for the refusal of a request that is known.
+MAX_REFUSAL_S = 0.2
+MAX_CALLS = 10
+
 
 def count_later(crashes_s):
     """Count the crashes after the request has to be known."""
@@ -22,6 +32,17 @@
     return sum(crash_s > known_s for crash_s in crashes_s)
 
 
+async def call_others(fleet, duration_s):
+    """Send requests that crash nothing to all instances in turn."""
+    end_s = read_boot_clock() + duration_s
+    responses = []
+    while read_boot_clock() < end_s:
+        number = len(responses)
+        daemon = fleet.daemons[number % len(fleet.daemons)]
+        responses.append(await fleet.call(daemon, path=f"/{number % 9}"))
+    return responses
+
+
 class TestCrashingRequest:
     def test_request_does_not_end_endpoint_after_endpoint(self):
         async def scenario(fleet):
@@ -31,3 +52,90 @@
             assert count_later(crashes_s) <= MAX_LATER
 
         run_scenario(scenario, instances=3, endpoints=ENDPOINTS)
+
+    def test_request_that_may_run_once_does_not_either(self):
+        async def scenario(fleet):
+            crashes_s = await start_crashing(fleet)
+            responses = await call_deadly(
+                fleet,
+                CALL_TIME_S,
+                method="POST",
+                host=b"jepu9.example",
+                path="/puka" + DEADLY_PATH,
+            )
+            assert len(crashes_s) == KNOWN_CRASHES
+            failed, refused = responses[:-50], responses[-50:]
+            assert {r.head.status for r in refused} == {503}
+            assert {r.head.status for r in failed} <= {502, 503}
+
+        run_scenario(scenario, instances=3, endpoints=ENDPOINTS)
+
+    def test_known_request_is_refused_at_once_by_all_instances(self):
+        async def scenario(fleet):
+            await start_crashing(fleet)
+            await call_deadly(fleet, CALL_TIME_S / 2)
+            for daemon in fleet.daemons:
+                started_s = read_boot_clock()
+                response = await fleet.call(daemon, path=DEADLY_PATH)
+                assert read_boot_clock() - started_s < MAX_REFUSAL_S
+                assert response.head.status == 503
+                assert float(response.head.find(b"retry-after")) > 60
+
+        run_scenario(
+            scenario,
+            instances=4,
+            endpoints=ENDPOINTS,
+            domains=("zrh-a", "zrh-b", "gva-a", "lug-a"),
+        )
+
+    def test_other_requests_are_served_meanwhile(self):
+        async def scenario(fleet):
+            await start_crashing(fleet)
+            async with curio.TaskGroup() as group:
+                await group.spawn(call_deadly, fleet, CALL_TIME_S)
+                others = await group.spawn(call_others, fleet, CALL_TIME_S)
+            served = [r.head.status == 200 for r in others.result]
+            assert sum(served) >= 0.9 * len(served)
+            late = served[len(served) // 2 :]
+            assert all(late)
+
+        run_scenario(scenario, instances=3, endpoints=ENDPOINTS)
+
+
+class TestInnocentRequests:
+    def test_connection_that_breaks_is_no_crash(self):
+        async def scenario(fleet):
+            endpoint = fleet.endpoints["i-1"]
+            endpoint.wrong_ids = 3
+            for _ in range(MAX_CALLS):
+                await fleet.call(fleet.daemons[0])
+            for daemon in fleet.daemons:
+                assert not daemon.node.crash_reports.quarantine.suspects
+
+        run_scenario(scenario, instances=2)
+
+    def test_answered_request_is_cleared_on_all_instances(self):
+        async def scenario(fleet):
+            await start_crashing(fleet)
+            for endpoint in fleet.endpoints.values():
+                endpoint.service_time_s = 0.3
+            daemon = fleet.daemons[0]
+            async with curio.TaskGroup() as group:
+                await group.spawn(fleet.call(daemon, path="/innocent"))
+                await curio.sleep(0.1)
+                await group.spawn(fleet.call(daemon, path=DEADLY_PATH))
+            response = await fleet.call(daemon, path="/innocent")
+            assert response.head.status == 200
+            request = Request(
+                "GET", "/innocent", ((b"host", b"hulo.example"),), b"", 0.0
+            )
+            fingerprint = make_fingerprint(request)
+            await fleet.wait_until(
+                lambda: all(
+                    fingerprint not in d.node.crash_reports.quarantine.suspects
+                    and d.node.crash_reports.quarantine.suspects
+                    for d in fleet.daemons
+                )
+            )
+
+        run_scenario(scenario, instances=3, endpoints=ENDPOINTS)
--- a/carawayvale/gateway/tests/test_endpoint_checks.py
+++ b/carawayvale/gateway/tests/test_endpoint_checks.py
@@ -5,21 +5,17 @@
 import curio
 
 from carawayvale.catalogue.records import EndpointRecord
-from carawayvale.catalogue.records import ServiceRecord
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import read_boot_clock
-from carawayvale.gateway.endpoint_notices import EndpointNotices
 from carawayvale.gateway.http_messages import Request
-from carawayvale.gateway.observer import RequestObserver
-from carawayvale.gateway.owned_endpoint import OwnedEndpoint
 from carawayvale.gateway.owner_request import OwnerRequest
+from carawayvale.gateway.tests.test_owned_endpoint import make_owned_endpoint
 from carawayvale.gateway.upstream import UpstreamOutcome
 from carawayvale.links.http import ConnectFailed
 from carawayvale.platform.headers import HEADER_NAMES
 from carawayvale.platform.tests.fakes import FakeEndpoint
 from carawayvale.platform.tests.fakes import open_port
 
-SERVICE = ServiceRecord("grids")
 ENDPOINT = EndpointRecord(
     "i-1", Address("10.0.0.1", 80), "grids", "zurich", "zrh-a", 5
 )
@@ -51,15 +47,8 @@
     """
     listener = open_port(endpoint.handle)
     server = await curio.spawn(listener.run, daemon=True)
-    observer = RequestObserver()
-    owned = OwnedEndpoint(
-        HEADER_NAMES,
-        replace(ENDPOINT, address=listener.address),
-        SERVICE,
-        observer,
-        EndpointNotices(HEADER_NAMES, observer, lambda: None),
-        lambda: False,
-        lambda: True,
+    owned = make_owned_endpoint(
+        replace(ENDPOINT, address=listener.address), may_repeat=False
     )
     running = await curio.spawn(owned.serve, make_request())
     while not endpoint.runs:
--- a/carawayvale/gateway/tests/test_owned_endpoint.py
+++ b/carawayvale/gateway/tests/test_owned_endpoint.py
@@ -7,6 +7,8 @@
 from carawayvale.catalogue.records import EndpointRecord
 from carawayvale.catalogue.records import ServiceRecord
 from carawayvale.contracts.address import Address
+from carawayvale.gateway.crash_reports import CrashReports
+from carawayvale.gateway.endpoint_context import EndpointContext
 from carawayvale.gateway.endpoint_notices import EndpointNotices
 from carawayvale.gateway.observer import RequestObserver
 from carawayvale.gateway.owned_endpoint import OwnedEndpoint
@@ -18,18 +20,18 @@
 )
 
 
-def make_owned_endpoint(endpoint):
+def make_owned_endpoint(endpoint, may_repeat=True):
+    """Make an endpoint that an instance without peers owns."""
     observer = RequestObserver()
-    notices = EndpointNotices(HEADER_NAMES, observer, lambda: None)
-    return OwnedEndpoint(
+    context = EndpointContext(
         HEADER_NAMES,
-        endpoint,
-        SERVICE,
         observer,
-        notices,
-        lambda: True,
-        lambda: True,
+        EndpointNotices(HEADER_NAMES, observer, lambda: None),
+        CrashReports("e1", observer),
+        lambda service: may_repeat,
+        lambda name: True,
     )
+    return OwnedEndpoint(context, endpoint, SERVICE)
 
 
 class TestEjections:
@@ -39,7 +41,7 @@
         owned = make_owned_endpoint(replace(ENDPOINT, address=address))
         curio.run(owned.check)
         assert owned.health.ejected
-        counters = owned.observer.metrics.counters
+        counters = owned.context.observer.metrics.counters
         assert counters["ejections", "grids"] == 1
 
 
--- a/carawayvale/gateway/tests/test_repeated_exchange.py
+++ b/carawayvale/gateway/tests/test_repeated_exchange.py
@@ -71,7 +71,7 @@
 
     def count(self, outcome):
         """Count the repeats with an outcome."""
-        counters = self.owned.observer.metrics.counters
+        counters = self.owned.context.observer.metrics.counters
         return counters["repeats", f"grids/{outcome}"]
 
 
--- a/carawayvale/gateway/upstream.py
+++ b/carawayvale/gateway/upstream.py
@@ -59,6 +59,8 @@
     first. UNSENT: no connection to the endpoint could be opened.
     NOT_RUN: the endpoint reports that it did not run the request.
     FAILED: the request may have run, and there is no usable response.
+    CRASHED: the endpoint ended while it ran the request. QUARANTINED: the
+    request crashes endpoints, and was not sent.
     LATE: the request may have run, and its deadline has passed.
     OWNER_LOST: the connection to the owner broke; the request may have
     run. CANCELLED: the instance that sent the request to its owner, or
@@ -72,6 +74,8 @@
     UNSENT = "unsent"
     NOT_RUN = "not_run"
     FAILED = "failed"
+    CRASHED = "crashed"
+    QUARANTINED = "quarantined"
     LATE = "late"
     OWNER_LOST = "owner_lost"
     CANCELLED = "cancelled"
@@ -83,7 +87,7 @@
 
     :param outcome: how the attempt ended.
     :param finish_s: for FULL, seconds until the request would be
-        complete.
+        complete; for QUARANTINED, seconds until it may be sent.
     :param status: HTTP status of the endpoint's response.
     :param headers: headers of the response without hop-by-hop headers.
     :param body: body of the response.
@@ -91,6 +95,7 @@
     :param failing: whether the endpoint has failed many requests lately.
     :param busy: for FULL, whether the endpoint would reject any other
         request as well.
+    :param disconnected: whether the connection to the endpoint broke.
     """
 
     outcome: UpstreamOutcome
@@ -101,6 +106,7 @@
     cause: str = ""
     failing: bool = False
     busy: bool = True
+    disconnected: bool = False
 
     @property
     def is_success(self) -> bool:
@@ -172,7 +178,9 @@
                 UpstreamOutcome.LATE, cause="no answer in time"
             )
         except ConnectionBroken as error:
-            result = UpstreamResult(UpstreamOutcome.FAILED, cause=str(error))
+            result = UpstreamResult(
+                UpstreamOutcome.FAILED, cause=str(error), disconnected=True
+            )
         finally:
             self._forget(request, client)
             if not reusable:
--- a/carawayvale/links/__init__.py
+++ b/carawayvale/links/__init__.py
@@ -11,6 +11,10 @@
         "OutgoingCall",
         "ReceivedResponse",
     ),
+    "crash_messages": (
+        "AnswerReport",
+        "CrashReport",
+    ),
     "document_handlers": (
         "handle_reports",
         "handle_revision",
--- a/carawayvale/links/peers.py
+++ b/carawayvale/links/peers.py
@@ -126,6 +126,7 @@
     :param closed_traffic: traffic of the links that have ended.
     :param change_feed: receiver of store changes from peers, or
         None.
+    :param crash_reports: receiver of reports about crashes, or None.
     """
 
     key: bytes
@@ -148,6 +149,7 @@
     seen_joins_and_leaves: int = -1
     closed_traffic: Traffic = NO_TRAFFIC
     change_feed: Any = None
+    crash_reports: Any = None
 
     def __post_init__(self):
         self.random = random.Random(self.membership.own_record.incarnation)
@@ -316,7 +318,7 @@
     async def send_heartbeats(self) -> None:
         """Send a heartbeat on each link."""
         replica = self.document_replica
-        await self._broadcast(
+        await self.broadcast(
             Heartbeat(
                 self.membership.own_record.incarnation,
                 self.membership.view_hash,
@@ -333,13 +335,18 @@
         :param known: records that it sent, and does not get back.
         """
         while records := self.membership.take_updates(MAX_UPDATES_PER_MESSAGE):
-            await self._broadcast(Updates(records), source)
+            await self.broadcast(Updates(records), source)
             active = self.links.get(source)
             unknown = tuple(r for r in records if r not in known)
             if active is not None and unknown:
                 await active.link.post(Updates(unknown))
 
-    async def _broadcast(self, message: Any, without: str = "") -> None:
+    async def broadcast(self, message: Any, without: str = "") -> None:
+        """Send a message on each link.
+
+        :param message: the message.
+        :param without: name of a peer to leave out.
+        """
         data = pack_message(message)
         for name, active in list(self.links.items()):
             if name != without:
--- a/carawayvale/links/tests/test_messages.py
+++ b/carawayvale/links/tests/test_messages.py
@@ -90,7 +90,7 @@
             body = data[1:]
         check_decoded(message, body)
 
-    @pytest.mark.parametrize("code", [0, 16, 255, MAX_CODE])
+    @pytest.mark.parametrize("code", [0, 18, 255, MAX_CODE])
     def test_code_of_no_type_is_an_unknown_message(self, code):
         data = cbor2.dumps([code, "x", [1]])
         assert decode_message(data) == UnknownMessage(code)
--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -20,6 +20,11 @@
         "order_endpoints",
         "score_endpoint",
     ),
+    "quarantine": (
+        "EndpointCrash",
+        "Quarantine",
+        "Suspect",
+    ),
     "rates": (
         "ColdRateLimit",
         "FleetRetryBudget",
