Discard input for a while after the last response of a connection

Callers saw: a connection was reset while its last response was on the way, if a request followed the one whose response closes the connection; 128,000 of 400,000 bytes arrived. make test was red by it.

Cause: the socket was closed with unread input, and the kernel then resets the connection and drops what is not received yet.

Change: the output is ended, and input is read and discarded until the caller closes, for at most a second. A planned stop waits for that within its grace period. A connection that is refused (408, 413, 431) ends so too.

--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -284,5 +284,5 @@
         """Stop accepting requests and wait for those in progress."""
         await self.listeners[server].stop()
         await server.stop()
-        while server.open_requests and read_boot_clock() < deadline_s:
+        while not server.is_finished and read_boot_clock() < deadline_s:
             await curio.sleep(STOP_POLL_S)
--- a/carawayvale/gateway/server.py
+++ b/carawayvale/gateway/server.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from collections import deque
 from dataclasses import dataclass
+import socket
 
 import curio
 from curio.io import Socket
@@ -35,6 +36,9 @@
 # Idle connections are kept this much longer than callers are promised.
 IDLE_MARGIN_S = 1.0
 
+# Longest time for which input is discarded after the last response.
+LINGER_S = 1.0
+
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 HTTP_REQUEST_TIMEOUT = 408
 
@@ -57,6 +61,7 @@
         self.closing = False
         self.stopped = False
         self.open_requests = 0
+        self.lingering = 0
         self.connections: set[ServerConnection] = set()
 
     async def serve(self, sock: Socket) -> None:
@@ -71,6 +76,11 @@
         finally:
             self.connections.discard(connection)
 
+    @property
+    def is_finished(self) -> bool:
+        """Whether all responses have been sent and received."""
+        return not self.open_requests and not self.lingering
+
     async def stop(self) -> None:
         """Start no further requests, and close idle connections.
 
@@ -109,17 +119,38 @@
         self.idle_since_s = read_boot_clock()
         self.input_ended = False
         self.error_status = 0
+        self.sent_last = False
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
         reader = await curio.spawn(self._read_requests, daemon=True)
         try:
             await self._write_responses()
+            if self.sent_last:
+                await reader.cancel()
+                await self._linger()
         finally:
             await reader.cancel(blocking=False)
             while self.pipeline:
                 await self._cancel(self.pipeline.popleft())
 
+    async def _linger(self) -> None:
+        """Discard input until the caller has closed the connection.
+
+        If a connection is closed while input is unread, the kernel resets
+        it and drops what the caller has not received of the last response.
+        """
+        self.server.lingering += 1
+        try:
+            self.sock._socket.shutdown(socket.SHUT_WR)
+            async with curio.ignore_after(LINGER_S):
+                while await self.sock.recv(READ_BYTES):
+                    pass
+        except OSError as error:
+            log_event("caller_gone", "DEBUG", cause=str(error))
+        finally:
+            self.server.lingering -= 1
+
     async def _cancel(self, open_request: OpenRequest) -> None:
         self.server.open_requests -= 1
         if open_request.task is not None:
@@ -217,7 +248,7 @@
     async def _send_error(self) -> None:
         if self.error_status:
             response = Response(self.error_status, close=True)
-            await self._send(encode_response(response, "GET"))
+            self.sent_last = await self._send(encode_response(response, "GET"))
 
     async def _write_next(self) -> bool:
         """Write the next response.
@@ -244,7 +275,8 @@
             self.idle_since_s = read_boot_clock()
             self.server.open_requests -= 1
         ended = self.parser.ended and not self.pipeline
-        return sent and not close and not ended
+        self.sent_last = sent and (close or ended)
+        return sent and not self.sent_last
 
     async def _await_response(
         self, open_request: OpenRequest
