Tell newly linked instances which requests are in quarantine

Callers would see: an instance that restarted knows no suspects, so a request in quarantine crashes the endpoints that it owns, three more for each restart.

Change: whoever links with a peer sends it the crashes of all requests in quarantine. The fingerprint has the caller's credentials too, so that a request that crashes for one caller is not cleared by the answers to others.

Evidence: test_new_instance_learns_which_requests_are_refused timed out before and passes.

--- a/carawayvale/gateway/crash_reports.py
+++ b/carawayvale/gateway/crash_reports.py
@@ -73,6 +73,18 @@
                 AnswerReport(make_fingerprint(request)), ""
             )
 
+    async def greet(self, link: PeerLink) -> None:
+        """Tell a newly linked peer which requests are in quarantine.
+
+        :param link: link with the peer, which may have just started.
+        """
+        for fingerprint, crash in self.quarantine.list_quarantined(
+            read_boot_clock()
+        ):
+            await link.post(
+                CrashReport(fingerprint, crash.endpoint, crash.started_ms)
+            )
+
     async def receive(
         self, link: PeerLink, report: CrashReport | AnswerReport
     ) -> None:
--- a/carawayvale/gateway/fingerprints.py
+++ b/carawayvale/gateway/fingerprints.py
@@ -10,11 +10,11 @@
 def make_fingerprint(request: Request) -> bytes:
     """Make the fingerprint of what a request asks for.
 
-    Requests that differ only in headers other than the host, such as their
+    Requests of one caller that differ only in other headers, such as their
     id and deadline, have the same fingerprint.
 
     :param request: the request.
-    :returns: a hash of method, host, target and body.
+    :returns: a hash of method, host, target, credentials and body.
 
     >>> first = Request("GET", "/a", ((b"x-request-id", b"1"),), b"", 0.0)
     >>> again = Request("GET", "/a", ((b"x-request-id", b"2"),), b"", 9.0)
@@ -26,6 +26,8 @@
         request.method.encode("latin-1"),
         (request.find(b"host") or b"").lower(),
         request.target.encode("latin-1", "replace"),
+        request.find(b"authorization") or b"",
+        request.find(b"cookie") or b"",
         request.body,
     )
     for field in fields:
--- a/carawayvale/gateway/tests/test_crashing_requests.py
+++ b/carawayvale/gateway/tests/test_crashing_requests.py
@@ -88,6 +88,21 @@
             domains=("zrh-a", "zrh-b", "gva-a", "lug-a"),
         )
 
+    def test_new_instance_learns_which_requests_are_refused(self):
+        async def scenario(fleet):
+            crashes_s = await start_crashing(fleet)
+            await call_deadly(fleet, CALL_TIME_S / 2)
+            crashes = len(crashes_s)
+            daemon = await fleet.add_instance("e9")
+            await fleet.wait_ready()
+            quarantine = daemon.node.crash_reports.quarantine
+            await fleet.wait_until(lambda: quarantine.suspects)
+            response = await fleet.call(daemon, path=DEADLY_PATH)
+            assert response.head.status == 503
+            assert len(crashes_s) == crashes
+
+        run_scenario(scenario, instances=2, endpoints=ENDPOINTS)
+
     def test_other_requests_are_served_meanwhile(self):
         async def scenario(fleet):
             await start_crashing(fleet)
--- a/carawayvale/links/link_sessions.py
+++ b/carawayvale/links/link_sessions.py
@@ -75,6 +75,8 @@
         name, link.peer.incarnation, now_s
     )
     await link.post(Members(tuple(table.membership.records.values())))
+    if table.crash_reports is not None:
+        await table.crash_reports.greet(link)
     await table.update_neighbours()
     closed = False
     try:
--- a/carawayvale/steering/quarantine.py
+++ b/carawayvale/steering/quarantine.py
@@ -122,6 +122,21 @@
         """
         return self.suspects.pop(fingerprint, None) is not None
 
+    def list_quarantined(
+        self, now_s: float
+    ) -> list[tuple[bytes, EndpointCrash]]:
+        """List the crashes of all requests in quarantine.
+
+        :param now_s: the time.
+        :returns: pairs of the fingerprint of a request and a crash.
+        """
+        return [
+            (fingerprint, crash)
+            for fingerprint, suspect in self.suspects.items()
+            if suspect.until_s > now_s
+            for crash in suspect.crashes
+        ]
+
     def find_wait(self, fingerprint: bytes, now_s: float) -> float:
         """Find how much longer a request is in quarantine.
 
