Split the exchange with an endpoint from the endpoint at its owner

The exchange knows the process of the endpoint that it began with, so a response that arrives after a restart says nothing of the new process.

--- /dev/null
+++ b/carawayvale/gateway/endpoint_exchange.py
@@ -0,0 +1,182 @@
+"""Exchange of one request with its endpoint, and what follows from it."""
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from carawayvale.catalogue.position import unpack_position
+from carawayvale.catalogue.records import EndpointRecord
+from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.endpoint_checks import has_crashed
+from carawayvale.gateway.fingerprints import make_fingerprint
+from carawayvale.gateway.observer import format_ms
+from carawayvale.gateway.owner_request import OwnerRequest
+from carawayvale.gateway.upstream import HTTP_MISDIRECTED
+from carawayvale.gateway.upstream import HTTP_SERVER_ERROR
+from carawayvale.gateway.upstream import UpstreamOutcome
+from carawayvale.gateway.upstream import UpstreamResult
+from carawayvale.steering.admission import QueuedRequest
+from carawayvale.steering.health import HealthSignal
+from carawayvale.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from carawayvale.gateway.owned_endpoint import OwnedEndpoint
+
+# An endpoint whose address is now used by another one gets no requests
+# for this long; its entry expires meanwhile if the endpoint is gone.
+MOVED_PAUSE_S = 5.0
+
+# An endpoint responds with this status by itself at the deadline, which
+# says nothing about its health.
+HTTP_GATEWAY_TIMEOUT = 504
+
+# Health signals that replace those of the outcome if the response
+# reports a server error.
+SERVER_ERROR_SIGNALS = {HealthSignal.ANSWERED: HealthSignal.ERROR}
+
+# Health signals of the outcomes of requests that were sent.
+OUTCOME_SIGNALS = {
+    UpstreamOutcome.ANSWERED: HealthSignal.ANSWERED,
+    UpstreamOutcome.NOT_RUN: HealthSignal.REFUSED,
+    UpstreamOutcome.UNSENT: HealthSignal.UNREACHABLE,
+    UpstreamOutcome.FAILED: HealthSignal.BROKEN,
+    UpstreamOutcome.CRASHED: HealthSignal.UNREACHABLE,
+    UpstreamOutcome.LATE: HealthSignal.BROKEN,
+}
+
+# Result of a run that ended because nobody waits for its response.
+CANCELLED_RUN = UpstreamResult(
+    UpstreamOutcome.CANCELLED, cause="sender closed its connection"
+)
+
+
+class EndpointExchange:
+    """Exchange of a request that holds a slot with the endpoint.
+
+    The result concerns the process of the endpoint that the request was
+    sent to, which may have been replaced before the exchange ends.
+
+    :param owned: the endpoint at its owner.
+    :param endpoint: the endpoint as it was when the exchange began.
+    :param owner_request: the request.
+    :param queued: the request as it stands in the queue.
+    """
+
+    def __init__(
+        self,
+        owned: "OwnedEndpoint",
+        endpoint: EndpointRecord,
+        owner_request: OwnerRequest,
+        queued: QueuedRequest,
+    ):
+        self.owned = owned
+        self.context = owned.context
+        self.endpoint = endpoint
+        self.owner_request = owner_request
+        self.queued = queued
+
+    @property
+    def is_current(self) -> bool:
+        """Whether the endpoint has not started again meanwhile."""
+        return self.owned.endpoint.started_ms == self.endpoint.started_ms
+
+    async def run(self) -> UpstreamResult:
+        """Send the request, unless it is in quarantine.
+
+        :returns: the result.
+        """
+        wait_s = self.context.crash_reports.find_wait(
+            self.owner_request.request
+        )
+        if wait_s:
+            return UpstreamResult(UpstreamOutcome.QUARANTINED, wait_s)
+        result = await self._report_end(await self._send())
+        self._record_notice(result)
+        if self.is_current:
+            self._record_signal(result)
+        self.record_run(result)
+        if not self.owned.is_usable:
+            await self.owned.notify_waiters()
+        return result
+
+    async def _send(self) -> UpstreamResult:
+        owned = self.owned
+        now_s = read_boot_clock()
+        owned.stated_limit.count_send(now_s)
+        owned.in_flight[self.queued] = self.owner_request.request
+        try:
+            return await owned.upstream.send(
+                self.owner_request.request,
+                self.owner_request.deadline_s - now_s,
+                self.owner_request.idempotent,
+            )
+        finally:
+            owned.in_flight.pop(self.queued, None)
+
+    async def _report_end(self, result: UpstreamResult) -> UpstreamResult:
+        """Report a crash during the request, or that it was answered.
+
+        :returns: the result, which tells whether the endpoint crashed.
+        """
+        request = self.owner_request.request
+        if result.outcome is UpstreamOutcome.ANSWERED:
+            await self.context.crash_reports.record_answer(request)
+        if not result.disconnected or not await has_crashed(self.owned):
+            return result
+        await self.context.crash_reports.record_crash(self.endpoint, request)
+        return replace(result, outcome=UpstreamOutcome.CRASHED)
+
+    def _record_notice(self, result: UpstreamResult) -> None:
+        """Apply what the endpoint says of itself in its response."""
+        notice = self.context.notices.record(self.endpoint, result)
+        if notice.pause_s and self.is_current:
+            self.owned.pause(notice.pause_s, read_boot_clock())
+
+    def _record_signal(self, result: UpstreamResult) -> None:
+        """Update the endpoint's health from the result."""
+        owned, now_s = self.owned, read_boot_clock()
+        if (
+            result.outcome is UpstreamOutcome.NOT_RUN
+            and result.status == HTTP_MISDIRECTED
+        ):
+            owned.moved_until_s = now_s + MOVED_PAUSE_S
+            log_event("endpoint_moved", endpoint=self.endpoint.name)
+        was_usable = owned.health.is_usable
+        signal = OUTCOME_SIGNALS[result.outcome]
+        if (
+            result.status >= HTTP_SERVER_ERROR
+            and result.status != HTTP_GATEWAY_TIMEOUT
+        ):
+            signal = SERVER_ERROR_SIGNALS.get(signal, signal)
+        owned.health.record(signal, now_s)
+        if was_usable and not owned.health.is_usable:
+            owned.record_ejection(result.cause)
+
+    def record_run(self, result: UpstreamResult) -> None:
+        """Count and log the run.
+
+        :param result: the result.
+        """
+        request = self.owner_request.request
+        self.context.observer.record_run(
+            self.owner_request.rank,
+            request.find_text(self.context.header_names.request_id),
+            self.queued.started_s - self.queued.queued_s,
+            read_boot_clock() - self.queued.started_s,
+            result.outcome.value,
+            result.is_success,
+            lambda: self._describe_run(result),
+        )
+
+    def _describe_run(self, result: UpstreamResult) -> dict[str, object]:
+        queue = self.owned.queue
+        return {
+            "fingerprint": make_fingerprint(self.owner_request.request).hex(),
+            "endpoint": self.endpoint.name,
+            "status": result.status,
+            "estimate_ms": format_ms(self.queued.service_time_s),
+            "turn": self.queued.queue_class.name.lower(),
+            "waiting": len(queue.waiting),
+            "running": len(queue.running),
+            "revision": unpack_position(self.endpoint.revision),
+            "cause": result.cause or "none",
+        }
--- a/carawayvale/gateway/owned_endpoint.py
+++ b/carawayvale/gateway/owned_endpoint.py
@@ -7,39 +7,29 @@
 
 import curio
 
-from carawayvale.catalogue.position import unpack_position
 from carawayvale.catalogue.records import EndpointRecord
 from carawayvale.catalogue.records import ServiceRecord
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.endpoint_checks import check_healthy
 from carawayvale.gateway.endpoint_checks import check_reachable
-from carawayvale.gateway.endpoint_checks import has_crashed
 from carawayvale.gateway.endpoint_context import EndpointContext
-from carawayvale.gateway.fingerprints import make_fingerprint
+from carawayvale.gateway.endpoint_exchange import CANCELLED_RUN
+from carawayvale.gateway.endpoint_exchange import EndpointExchange
 from carawayvale.gateway.http_messages import Request
-from carawayvale.gateway.observer import format_ms
 from carawayvale.gateway.owner_request import OwnerRequest
 from carawayvale.gateway.repeated_exchange import RepeatedExchange
-from carawayvale.gateway.upstream import HTTP_MISDIRECTED
-from carawayvale.gateway.upstream import HTTP_SERVER_ERROR
 from carawayvale.gateway.upstream import Upstream
 from carawayvale.gateway.upstream import UpstreamOutcome
 from carawayvale.gateway.upstream import UpstreamResult
 from carawayvale.steering.admission import EndpointQueue
 from carawayvale.steering.admission import QueuedRequest
 from carawayvale.steering.health import EndpointHealth
-from carawayvale.steering.health import HealthSignal
 from carawayvale.steering.rates import ColdRateLimit
 from carawayvale.steering.repeats import RepeatPolicy
 from carawayvale.steering.stated_limits import StatedLimit
-from carawayvale.telemetry.logs import log_event
 
 MIN_CHECK_INTERVAL_S = 1.0
 
-# An endpoint whose address is now used by another one gets no requests
-# for this long; its entry expires meanwhile if the endpoint is gone.
-MOVED_PAUSE_S = 5.0
-
 # An endpoint that is used again after a pause is treated as cold for
 # this long; its next reports say whether it is.
 RESUME_COLD_S = 2.5
@@ -52,30 +42,6 @@
 # Shortest timeout of a request that waits for a slot.
 MIN_SLOT_WAIT_S = 0.001
 
-# An endpoint responds with this status by itself at the deadline, which
-# says nothing about its health.
-HTTP_GATEWAY_TIMEOUT = 504
-
-# Health signals that replace those of the outcome if the response
-# reports a server error.
-SERVER_ERROR_SIGNALS = {HealthSignal.ANSWERED: HealthSignal.ERROR}
-
-# Health signals of the outcomes of requests that were sent.
-OUTCOME_SIGNALS = {
-    UpstreamOutcome.ANSWERED: HealthSignal.ANSWERED,
-    UpstreamOutcome.NOT_RUN: HealthSignal.REFUSED,
-    UpstreamOutcome.UNSENT: HealthSignal.UNREACHABLE,
-    UpstreamOutcome.FAILED: HealthSignal.BROKEN,
-    UpstreamOutcome.CRASHED: HealthSignal.UNREACHABLE,
-    UpstreamOutcome.LATE: HealthSignal.BROKEN,
-}
-
-
-# Result of a run that ended because nobody waits for its response.
-CANCELLED_RUN = UpstreamResult(
-    UpstreamOutcome.CANCELLED, cause="sender closed its connection"
-)
-
 
 class SlotWaiter:
     """Event for the task of a request that waits for a slot.
@@ -255,7 +221,8 @@
             return replace(result, failing=self.health.is_failing)
         except curio.CancelledError:
             if queued in self.queue.running:
-                self._record_run(owner_request, queued, CANCELLED_RUN)
+                exchange = self._make_exchange(owner_request, queued)
+                exchange.record_run(CANCELLED_RUN)
             raise
         finally:
             self.waiters.pop(queued, None)
@@ -339,109 +306,25 @@
         :param queued: the request as it stands in the queue.
         :returns: the result.
         """
-        request = owner_request.request
-        wait_s = self.context.crash_reports.find_wait(request)
-        if wait_s:
-            return UpstreamResult(UpstreamOutcome.QUARANTINED, wait_s)
-        now_s = read_boot_clock()
-        remaining_s = owner_request.deadline_s - now_s
-        self.stated_limit.count_send(now_s)
-        self.in_flight[queued] = request
-        try:
-            result = await self.upstream.send(
-                request, remaining_s, owner_request.idempotent
-            )
-        finally:
-            self.in_flight.pop(queued, None)
-        result = await self._report_end(request, result)
-        self._record_signal(result)
-        self._record_notice(result)
-        self._record_run(owner_request, queued, result)
-        if not self.is_usable:
-            await self.notify_waiters()
-        return result
-
-    async def _report_end(
-        self, request: Request, result: UpstreamResult
-    ) -> UpstreamResult:
-        """Report a crash during a request, or that it was answered.
+        exchange = self._make_exchange(owner_request, queued)
+        return await exchange.run()
 
-        :returns: the result, which tells whether the endpoint crashed.
+    def _make_exchange(
+        self, owner_request: OwnerRequest, queued: QueuedRequest
+    ) -> EndpointExchange:
+        return EndpointExchange(self, self.endpoint, owner_request, queued)
+
+    def pause(self, pause_s: float, now_s: float) -> None:
+        """Send nothing to the endpoint for at least some time.
+
+        :param pause_s: seconds from now.
+        :param now_s: the time.
         """
-        if result.outcome is UpstreamOutcome.ANSWERED:
-            await self.context.crash_reports.record_answer(request)
-        if not result.disconnected or not await has_crashed(self):
-            return result
-        await self.context.crash_reports.record_crash(self.endpoint, request)
-        return replace(result, outcome=UpstreamOutcome.CRASHED)
-
-    def _record_notice(self, result: UpstreamResult) -> None:
-        """Apply what the endpoint says of itself in its response."""
-        notice = self.context.notices.record(self.endpoint, result)
-        if not notice.pause_s:
-            return
-        until_s = read_boot_clock() + notice.pause_s
-        self.paused_until_s = max(self.paused_until_s, until_s)
+        self.paused_until_s = max(self.paused_until_s, now_s + pause_s)
         self.context.observer.record_pause(
-            self.service.name, self.endpoint.name, notice.pause_s
-        )
-
-    def _record_run(
-        self,
-        owner_request: OwnerRequest,
-        queued: QueuedRequest,
-        result: UpstreamResult,
-    ) -> None:
-        self.context.observer.record_run(
-            owner_request.rank,
-            owner_request.request.find_text(
-                self.context.header_names.request_id
-            ),
-            queued.started_s - queued.queued_s,
-            read_boot_clock() - queued.started_s,
-            result.outcome.value,
-            result.is_success,
-            lambda: self._describe_run(owner_request, queued, result),
+            self.service.name, self.endpoint.name, pause_s
         )
 
-    def _describe_run(
-        self,
-        owner_request: OwnerRequest,
-        queued: QueuedRequest,
-        result: UpstreamResult,
-    ) -> dict[str, object]:
-        return {
-            "fingerprint": make_fingerprint(owner_request.request).hex(),
-            "endpoint": self.endpoint.name,
-            "status": result.status,
-            "estimate_ms": format_ms(queued.service_time_s),
-            "turn": queued.queue_class.name.lower(),
-            "waiting": len(self.queue.waiting),
-            "running": len(self.queue.running),
-            "revision": unpack_position(self.endpoint.revision),
-            "cause": result.cause or "none",
-        }
-
-    def _record_signal(self, result: UpstreamResult) -> None:
-        """Update the endpoint's health from a result."""
-        now_s = read_boot_clock()
-        if (
-            result.outcome is UpstreamOutcome.NOT_RUN
-            and result.status == HTTP_MISDIRECTED
-        ):
-            self.moved_until_s = now_s + MOVED_PAUSE_S
-            log_event("endpoint_moved", endpoint=self.endpoint.name)
-        was_usable = self.health.is_usable
-        signal = OUTCOME_SIGNALS[result.outcome]
-        if (
-            result.status >= HTTP_SERVER_ERROR
-            and result.status != HTTP_GATEWAY_TIMEOUT
-        ):
-            signal = SERVER_ERROR_SIGNALS.get(signal, signal)
-        self.health.record(signal, now_s)
-        if was_usable and not self.health.is_usable:
-            self.record_ejection(result.cause)
-
     def record_ejection(self, cause: str) -> None:
         """Count and log that the endpoint was ejected.
 
