Ignore what an earlier process of an endpoint says in a late response

Callers would see: an endpoint restarts under its name while a response of its earlier process is on the way; the limit or the departure of the new process was replaced by that of the old one.

Change: limits and departures are kept for the latest process only.

--- a/carawayvale/steering/departures.py
+++ b/carawayvale/steering/departures.py
@@ -26,7 +26,8 @@
         :param endpoint: the endpoint.
         :returns: whether that is new.
         """
-        if self.includes(endpoint):
+        known_ms = self._started_ms.get(endpoint.name)
+        if known_ms is not None and known_ms >= endpoint.started_ms:
             return False
         self._started_ms.pop(endpoint.name, None)
         self._started_ms[endpoint.name] = endpoint.started_ms
--- a/carawayvale/steering/stated_limits.py
+++ b/carawayvale/steering/stated_limits.py
@@ -165,11 +165,14 @@
         """Find the limit of an endpoint.
 
         :param endpoint: the endpoint.
-        :returns: the limit; a new one without a rate after a restart.
+        :returns: the limit; a new one without a rate after a restart, and
+            one that is not kept for a process before the latest.
         """
-        started_ms, limit = self._limits.get(endpoint.name, (None, None))
-        if limit is None or started_ms != endpoint.started_ms:
-            limit = StatedLimit()
+        known = self._limits.get(endpoint.name)
+        if known is not None and known[0] == endpoint.started_ms:
+            return known[1]
+        limit = StatedLimit()
+        if known is None or known[0] < endpoint.started_ms:
             self._limits[endpoint.name] = (endpoint.started_ms, limit)
         return limit
 
--- a/carawayvale/steering/tests/test_stated_limits.py
+++ b/carawayvale/steering/tests/test_stated_limits.py
@@ -1,5 +1,7 @@
 """Tests of the rate limits that endpoints name."""
 
+from dataclasses import replace
+
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
@@ -22,6 +24,8 @@
     "i-1", Address("10.0.0.1", 80), "grids", "zurich", "zrh-a", 5, started_ms=1
 )
 
+RESTARTED = replace(ENDPOINT, started_ms=2)
+
 
 def make_limit(rate=None, owned_s=HANDOVER_S):
     """Make the limit of an owner at time 0."""
@@ -130,16 +134,13 @@
         limits = StatedLimits()
         limits.find(ENDPOINT).record_named(2.0, 0.0)
         assert limits.find(ENDPOINT).is_limited
-        restarted = EndpointRecord(
-            "i-1",
-            ENDPOINT.address,
-            "grids",
-            "zurich",
-            "zrh-a",
-            5,
-            started_ms=2,
-        )
-        assert not limits.find(restarted).is_limited
+        assert not limits.find(RESTARTED).is_limited
+
+    def test_late_response_of_an_earlier_process_changes_nothing(self):
+        limits = StatedLimits()
+        limits.find(RESTARTED).record_named(2.0, 0.0)
+        limits.find(ENDPOINT).record_named(50.0, 1.0)
+        assert limits.find(RESTARTED).rate == 2.0
 
 
 class TestQueue:
