Apply what endpoints say of themselves in health checks too

Callers would see: an endpoint that names a limit, leaves or asks for a pause in the response to a health check gets requests against it. Found by reading the fix: its responses to checks were read for its cold time only.

Evidence: two tests of TestNoticesOfChecks failed before and pass.

--- a/carawayvale/gateway/endpoint_checks.py
+++ b/carawayvale/gateway/endpoint_checks.py
@@ -9,6 +9,7 @@
 from carawayvale.links.http import ConnectFailed
 from carawayvale.links.http import ConnectionBroken
 from carawayvale.links.http import ConnectRefused
+from carawayvale.links.http import ResponseHead
 from carawayvale.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -89,6 +90,7 @@
     name = owned.endpoint.name.encode("latin-1")
     host = str(owned.endpoint.address).encode()
     call = OutgoingCall("GET", owned.service.health_path, [(b"host", host)])
+    header_names = owned.context.header_names
     passed = False
     cold_s = 0.0
     owned.stated_limit.record_send(read_boot_clock())
@@ -96,13 +98,12 @@
         response = await owned.upstream.pool.exchange(
             call, CHECK_TIMEOUT_S, MAX_CHECK_BYTES
         )
-        same_name = (
-            response.head.find(owned.context.header_names.endpoint) == name
-        )
-        passed = same_name and response.head.status == 200
-        cold_s = parse_cold(
-            response.head.find(owned.context.header_names.cold_ms)
-        )
+        head = response.head
+        same_name = head.find(header_names.endpoint) == name
+        passed = same_name and head.status == 200
+        cold_s = parse_cold(head.find(header_names.cold_ms))
+        if same_name:
+            apply_notice(owned, head)
     except (ConnectionBroken, curio.TaskTimeout) as error:
         log_event(
             "check_failed",
@@ -122,6 +123,17 @@
         await owned.notify_waiters()
 
 
+def apply_notice(owned: "OwnedEndpoint", head: ResponseHead) -> None:
+    """Apply what an endpoint says of itself in a health check.
+
+    :param owned: the endpoint.
+    :param head: status and headers of its response.
+    """
+    notice = owned.context.notices.record_check(owned.endpoint, head)
+    if notice.pause_s:
+        owned.pause(notice.pause_s, read_boot_clock())
+
+
 def parse_cold(value: bytes | None) -> float:
     """Parse how long an endpoint stays cold.
 
--- a/carawayvale/gateway/endpoint_notices.py
+++ b/carawayvale/gateway/endpoint_notices.py
@@ -11,7 +11,7 @@
 from carawayvale.gateway.upstream import HTTP_MISDIRECTED
 from carawayvale.gateway.upstream import UpstreamOutcome
 from carawayvale.gateway.upstream import UpstreamResult
-from carawayvale.links.http import find_header
+from carawayvale.links.http import ResponseHead
 from carawayvale.steering.departures import Departures
 from carawayvale.steering.stated_limits import StatedLimits
 
@@ -20,6 +20,11 @@
 # Longest pause that a single response can bring about.
 MAX_PAUSE_S = 600.0
 
+# Outcomes of attempts to which the endpoint responded.
+RESPONSE_OUTCOMES = frozenset(
+    {UpstreamOutcome.ANSWERED, UpstreamOutcome.NOT_RUN}
+)
+
 # Value of the header that marks the responses of a leaving endpoint.
 LEAVING = b"1"
 
@@ -69,19 +74,35 @@
     :returns: the notice; an empty one if the result has no response of the
         endpoint that the request was sent to.
     """
+    if result.outcome not in RESPONSE_OUTCOMES:
+        return EndpointNotice()
+    head = ResponseHead(result.status, result.headers)
     answered = result.outcome is UpstreamOutcome.ANSWERED
-    not_run = result.outcome is UpstreamOutcome.NOT_RUN
-    if not answered and not not_run or result.status == HTTP_MISDIRECTED:
+    return read_notice(head, header_names, answered)
+
+
+def read_notice(
+    head: ResponseHead, header_names: HeaderNames, answered: bool
+) -> EndpointNotice:
+    """Read what an endpoint says of itself in the head of a response.
+
+    :param head: status and headers of the response.
+    :param header_names: names of HTTP headers.
+    :param answered: whether the endpoint ran a request for the response.
+    :returns: the notice; an empty one if another endpoint responded.
+    """
+    if head.status == HTTP_MISDIRECTED:
         return EndpointNotice()
-    value = find_header(result.headers, header_names.rate_limit)
+    value = head.find(header_names.rate_limit)
     rate_limit = parse_decimal(value)
     is_complete = answered and (value is None or rate_limit is not None)
-    leaving = find_header(result.headers, header_names.leaving) == LEAVING
+    leaving = head.find(header_names.leaving) == LEAVING
     pause_s = 0.0
-    if result.status == HTTP_UNAVAILABLE:
-        text = find_header(result.headers, header_names.pause)
-        pause_s = min(MAX_PAUSE_S, parse_decimal(text) or 0.0)
-    return EndpointNotice(rate_limit, is_complete, leaving, pause_s)
+    if head.status == HTTP_UNAVAILABLE:
+        pause_s = parse_decimal(head.find(header_names.pause)) or 0.0
+    return EndpointNotice(
+        rate_limit, is_complete, leaving, min(MAX_PAUSE_S, pause_s)
+    )
 
 
 class EndpointNotices:
@@ -109,9 +130,6 @@
     ) -> EndpointNotice:
         """Apply the notice in the result of an attempt, if there is one.
 
-        A pause concerns only the instance that was refused, so it is left to
-        the caller.
-
         :param endpoint: the endpoint.
         :param result: the result.
         :param owner: name of the instance that passed the result on; empty
@@ -119,6 +137,30 @@
         :returns: the notice; an empty one if there is none.
         """
         notice = decode_notice(result, self.header_names)
+        return self._apply(endpoint, notice, owner)
+
+    def record_check(
+        self, endpoint: EndpointRecord, head: ResponseHead
+    ) -> EndpointNotice:
+        """Apply the notice in the response to a health check.
+
+        :param endpoint: the endpoint, which responded itself.
+        :param head: status and headers of the response.
+        :returns: the notice; an empty one if there is none.
+        """
+        notice = read_notice(head, self.header_names, answered=False)
+        return self._apply(endpoint, notice, "")
+
+    def _apply(
+        self, endpoint: EndpointRecord, notice: EndpointNotice, owner: str
+    ) -> EndpointNotice:
+        """Apply a notice, but for the pause.
+
+        A pause concerns only the instance that was refused, so it is left to
+        the caller.
+
+        :returns: the notice.
+        """
         self._record_limit(endpoint, notice, owner)
         if notice.leaving and self.departures.record(endpoint):
             self.observer.record_departure(endpoint.name, owner)
--- a/carawayvale/gateway/tests/test_endpoint_checks.py
+++ b/carawayvale/gateway/tests/test_endpoint_checks.py
@@ -8,6 +8,7 @@
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.http_messages import Request
+from carawayvale.gateway.http_messages import Response
 from carawayvale.gateway.owner_request import OwnerRequest
 from carawayvale.gateway.tests.test_owned_endpoint import make_owned_endpoint
 from carawayvale.gateway.upstream import UpstreamOutcome
@@ -63,6 +64,45 @@
     return result
 
 
+class TestNoticesOfChecks:
+    """What an endpoint says in the response to a health check counts."""
+
+    def check(self, status, *headers):
+        async def run():
+            name = (HEADER_NAMES.endpoint, b"i-1")
+
+            async def respond(request):
+                return Response(status, (name, *headers))
+
+            listener = open_port(respond)
+            server = await curio.spawn(listener.run, daemon=True)
+            owned = make_owned_endpoint(
+                replace(ENDPOINT, address=listener.address)
+            )
+            owned.health.eject(read_boot_clock())
+            await owned.check()
+            await server.cancel()
+            return owned
+
+        return curio.run(run)
+
+    def test_pause_in_the_response_to_a_check_is_kept(self):
+        owned = self.check(503, (b"retry-after", b"7"))
+        assert 6.0 < owned.find_pause(read_boot_clock()) <= 7.0
+        assert not owned.needs_check(read_boot_clock() + 6.0)
+
+    def test_limit_and_departure_in_a_response_to_a_check_count(self):
+        limit, leaving = (b"server-limit", b"3.5"), (b"server-leaving", b"1")
+        owned = self.check(200, limit, leaving)
+        assert owned.stated_limit.rate == 3.5
+        assert not owned.is_available
+
+    def test_response_of_another_endpoint_does_not_count(self):
+        other = (HEADER_NAMES.endpoint, b"i-2")
+        owned = self.check(421, other, (b"server-limit", b"3.5"))
+        assert not owned.stated_limit.is_limited
+
+
 class TestOverdueRequests:
     def test_endpoint_that_refuses_connections_finishes_what_it_runs(self):
         endpoint = FakeEndpoint("i-1", service_time_s=SERVICE_TIME_S)
