--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -23,7 +23,7 @@
     "quarantine": (
         "EndpointCrash",
         "Quarantine",
-        "Suspect",
+        "SuspectRequest",
     ),
     "rates": (
         "ColdRateLimit",
--- a/carawayvale/steering/quarantine.py
+++ b/carawayvale/steering/quarantine.py
@@ -43,7 +43,7 @@
 
 
 @dataclass
-class Suspect:
+class SuspectRequest:
     """A request that was in progress at crashes.
 
     :param crashes: the crashes since it was last answered.
@@ -74,7 +74,7 @@
 
     def __init__(self, instance: str):
         self.instance = instance
-        self.suspects: dict[bytes, Suspect] = {}
+        self.suspects: dict[bytes, SuspectRequest] = {}
 
     def record_crash(
         self, fingerprint: bytes, crash: EndpointCrash, now_s: float
@@ -86,7 +86,7 @@
         :param now_s: the time.
         :returns: whether it is new.
         """
-        suspect = self.suspects.pop(fingerprint, None) or Suspect()
+        suspect = self.suspects.pop(fingerprint, None) or SuspectRequest()
         self.suspects[fingerprint] = suspect
         if crash in suspect.crashes:
             return False
@@ -98,7 +98,7 @@
         return True
 
     def _extend(
-        self, fingerprint: bytes, suspect: Suspect, now_s: float
+        self, fingerprint: bytes, suspect: SuspectRequest, now_s: float
     ) -> None:
         """Begin the first or the next quarantine of a request."""
         delay = hash_text(f"{fingerprint.hex()}|{self.instance}") / (1 << 64)
