--- a/carawayvale/links/http.py
+++ b/carawayvale/links/http.py
@@ -128,7 +128,11 @@
     :raises ConnectFailed: if the connection fails or times out.
     """
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(family, socket.SOCK_STREAM)
+    except OSError as error:
+        # The process has no free descriptor.
+        raise ConnectFailed(f"{address}: {error}") from None
     try:
         if source:
             sock.bind((source, 0))
