Keep watching the store after a takeover until others confirm newer state

Change: only confirmations from others that are newer than its own end the takeover. An instance that has taken over waits 0.25 s more between calls, so that the one before it is heard once it is back.

--- a/carawayvale/gateway/change_feed.py
+++ b/carawayvale/gateway/change_feed.py
@@ -2,7 +2,8 @@
 
 One instance of each region watches the store and sends changes to the
 others. If those receive no state that the store confirmed lately, they
-watch the store themselves, one after the other.
+watch the store themselves, one after the other. An instance that has taken
+over goes on until another one sends it newer confirmations than its own.
 """
 
 from collections.abc import Awaitable
@@ -37,6 +38,10 @@
 # that follow each other within this time are read with one call.
 BATCH_S = 0.25
 
+# Additional pause between two calls of an instance that has taken over, so
+# that the confirmations of the one before it are newer once it is back.
+TAKEOVER_PAUSE_S = 0.25
+
 # Longest time for which a call to the store waits for a change.
 WATCH_WAIT_S = 1.0
 
@@ -81,6 +86,7 @@
         self.replica = StoreReplica()
         self.complete = False
         self.confirmed_s = float("-inf")
+        self.heard_s = float("-inf")
         self.requested_s = 0.0
         self.published_revision = 0
         self.published_s = 0.0
@@ -98,7 +104,7 @@
         position = self.election.find_position()
         if position == 0:
             return True
-        return now_s - self.confirmed_s > STALE_S + STALE_STEP_S * position
+        return now_s - self.heard_s > STALE_S + STALE_STEP_S * position
 
     async def run(self) -> None:
         """Keep the replica up to date until cancelled."""
@@ -159,7 +165,10 @@
             to_publish = list(self.replica.collect_since(0))
         if to_publish or now_s - self.published_s >= CONFIRM_INTERVAL_S:
             await self._publish(to_publish)
-        await curio.sleep(max(0.0, BATCH_S - (now_s - start_s)))
+        pause_s = max(0.0, BATCH_S - (now_s - start_s))
+        if self.election.find_position() > 0:
+            pause_s += TAKEOVER_PAUSE_S
+        await curio.sleep(pause_s)
 
     def _log_ignored(self, items: Iterable[StoredItem]) -> None:
         """Log the items of a reading that the replica did not accept."""
@@ -276,6 +285,8 @@
             self.complete = self.complete or update.since == 0
         confirmed_s = now_s - update.age_s
         newer = confirmed_s > self.confirmed_s + POLL_S
+        if newer:
+            self.heard_s = confirmed_s
         await self._apply(changed, self.confirmed_s if gap else confirmed_s)
         if (changed or newer) and not self.peers.membership.is_full_mesh:
             await self._send_update(update, link.peer.name)
