--- a/carawayvale/gateway/tests/test_takeover.py
+++ b/carawayvale/gateway/tests/test_takeover.py
@@ -72,8 +72,10 @@
             )
             first.store._call = call
             await fleet.wait_until(
-                lambda: [d for d in fleet.daemons if d.change_feed.watching]
-                == [first]
+                lambda: (
+                    [d for d in fleet.daemons if d.change_feed.watching]
+                    == [first]
+                )
             )
 
         run_scenario(scenario, instances=3)
--- a/carawayvale/steering/stated_limits.py
+++ b/carawayvale/steering/stated_limits.py
@@ -46,7 +46,8 @@
     :param owned_since_s: time since which this instance owns the endpoint;
         None if it does not.
     :param share: part of the limit that this instance uses.
-    :param full_s: time by which all that was sent is within the limit.
+    :param next_s: theoretical arrival time of the next request, as in the
+        generic cell rate algorithm.
     :param sent: requests that this instance sent to the endpoint.
     """
 
@@ -55,7 +56,7 @@
     logged_s: float = 0.0
     owned_since_s: float | None = None
     share: float = HANDOVER_SHARE
-    full_s: float = 0.0
+    next_s: float = 0.0
     sent: WindowCounter = field(
         default_factory=lambda: WindowCounter(COUNT_WINDOW_S)
     )
@@ -80,7 +81,7 @@
             self.owned_since_s = None
         elif self.owned_since_s is None:
             self.owned_since_s = now_s
-            self.full_s = max(self.full_s, now_s + BURST_S)
+            self.next_s = max(self.next_s, now_s + BURST_S)
         owned_s = now_s - self.owned_since_s if is_owner else 0.0
         self.share = 1.0 if owned_s >= HANDOVER_S else HANDOVER_SHARE
 
@@ -93,8 +94,8 @@
         """
         if not self.is_limited:
             return now_s
-        full_s = max(self.full_s, now_s) + ahead * self.spacing_s
-        return max(now_s, full_s - BURST_S)
+        next_s = max(self.next_s, now_s) + ahead * self.spacing_s
+        return max(now_s, next_s - BURST_S)
 
     def record_send(self, now_s: float) -> None:
         """Record that a request is sent now.
@@ -102,7 +103,7 @@
         :param now_s: the time.
         """
         if self.is_limited:
-            self.full_s = max(self.full_s, now_s) + self.spacing_s
+            self.next_s = max(self.next_s, now_s) + self.spacing_s
 
     def record_named(self, rate: float, now_s: float) -> None:
         """Record that a response names a limit.
