Let one of several takeovers of the store's watch go on alone

Cause, from its logs: three instances had taken over within half a second, each heard the newer confirmations of the others, and all stopped. Then no state was confirmed for 1.3 s and more, which counts as an outage of the store, after which removed entries are kept for 2.2 s; together that is more than endpoints that are removed serve on.

Change: a takeover lasts at least 3 s longer for each position that the instance is ahead, so the one that is first in the order goes on alone. The first reading of a start counts as heard, so that a start has one watcher.

--- a/carawayvale/gateway/change_feed.py
+++ b/carawayvale/gateway/change_feed.py
@@ -3,12 +3,15 @@
 One instance of each region watches the store and sends changes to the
 others. If those receive no state that the store confirmed lately, they
 watch the store themselves, one after the other. An instance that has taken
-over goes on until another one sends it newer confirmations than its own.
+over goes on for a while, and then until another one sends it newer
+confirmations than its own. That while is longer the earlier it is in the
+order, so that of several that have taken over one goes on alone.
 """
 
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+import random
 
 import curio
 
@@ -22,6 +25,7 @@
 from carawayvale.gateway.feed_updates import pack_items
 from carawayvale.gateway.feed_updates import unpack_items
 from carawayvale.gateway.feed_updates import UpdateKind
+from carawayvale.gateway.watcher_election import MAX_WATCHERS
 from carawayvale.gateway.watcher_election import WatcherElection
 from carawayvale.links.feed_messages import FeedRequest
 from carawayvale.links.feed_messages import FeedUpdate
@@ -42,6 +46,11 @@
 # that the confirmations of the one before it are newer once it is back.
 TAKEOVER_PAUSE_S = 0.25
 
+# Least time for which an instance that has taken over goes on, for each
+# position that it is ahead of the last one. It is longer than the time for
+# which the confirmations of an instance that has stopped count.
+TAKEOVER_STEP_S = 3.0
+
 # Longest time for which a call to the store waits for a change.
 WATCH_WAIT_S = 1.0
 
@@ -87,6 +96,7 @@
         self.complete = False
         self.confirmed_s = float("-inf")
         self.heard_s = float("-inf")
+        self.hold_until_s = float("-inf")
         self.requested_s = 0.0
         self.published_revision = 0
         self.published_s = 0.0
@@ -104,17 +114,41 @@
         position = self.election.find_position()
         if position == 0:
             return True
+        if now_s < self.hold_until_s:
+            return True
         return now_s - self.heard_s > STALE_S + STALE_STEP_S * position
 
+    def update_watching(self, now_s: float) -> None:
+        """Begin or end to watch the store, as it is due.
+
+        :param now_s: the time.
+        """
+        watching = self._should_watch(now_s)
+        if watching == self.watching:
+            return
+        self.watching = watching
+        if watching and self.complete:
+            self.hold_until_s = now_s + self._find_hold()
+        log_event("store_watch", watching=watching)
+
+    def _find_hold(self) -> float:
+        """Find for how long a takeover that begins now lasts at least.
+
+        Instances without a position of their own differ by chance.
+
+        :returns: seconds.
+        """
+        ahead = MAX_WATCHERS - self.election.find_position()
+        if ahead == 0:
+            return TAKEOVER_STEP_S * random.random()
+        return TAKEOVER_STEP_S * (1 + ahead)
+
     async def run(self) -> None:
         """Keep the replica up to date until cancelled."""
         while True:
             now_s = read_boot_clock()
-            watching = self._should_watch(now_s)
-            if watching != self.watching:
-                self.watching = watching
-                log_event("store_watch", watching=watching)
-            if not watching:
+            self.update_watching(now_s)
+            if not self.watching:
                 await curio.sleep(POLL_S)
                 continue
             try:
@@ -149,6 +183,7 @@
             )
             self._log_ignored(reading.items.values())
             self.complete = True
+            self.heard_s = read_boot_clock()
         else:
             changes = await self.store.watch(
                 "", self.replica.revision, WATCH_WAIT_S
