Test that a broken connection and a planned end are no crashes

The test of that name sent responses with a wrong id, which break nothing. It now has an endpoint that closes the connection and accepts the next one; a planned end is tested beside it.

--- a/carawayvale/gateway/tests/test_crashing_requests.py
+++ b/carawayvale/gateway/tests/test_crashing_requests.py
@@ -1,14 +1,23 @@
 """Tests of requests that crash the endpoints that run them."""
 
+from dataclasses import replace
+
 import curio
 
+from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.endpoint_checks import has_crashed
 from carawayvale.gateway.fingerprints import make_fingerprint
 from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.tests.crashing import call_deadly
 from carawayvale.gateway.tests.crashing import DEADLY_PATH
 from carawayvale.gateway.tests.crashing import start_crashing
+from carawayvale.gateway.tests.test_endpoint_checks import make_request
 from carawayvale.gateway.tests.test_fleet import run_scenario
+from carawayvale.gateway.tests.test_owned_endpoint import ENDPOINT
+from carawayvale.gateway.tests.test_owned_endpoint import make_owned_endpoint
+from carawayvale.gateway.upstream import UpstreamOutcome
+from carawayvale.platform.tests.fakes import open_raw_port
 
 ENDPOINTS = ("i-1", "i-2", "i-3", "i-4")
 CALL_TIME_S = 5.0
@@ -21,7 +30,9 @@
 
 # Longest time for the refusal of a request that is known.
 MAX_REFUSAL_S = 0.2
-MAX_CALLS = 10
+
+# An address at which connections are refused.
+CLOSED_PORT = Address("127.0.0.1", 1)
 
 
 def count_later(crashes_s):
@@ -119,15 +130,36 @@
 
 class TestInnocentRequests:
     def test_connection_that_breaks_is_no_crash(self):
-        async def scenario(fleet):
-            endpoint = fleet.endpoints["i-1"]
-            endpoint.wrong_ids = 3
-            for _ in range(MAX_CALLS):
-                await fleet.call(fleet.daemons[0])
-            for daemon in fleet.daemons:
-                assert not daemon.node.crash_reports.quarantine.suspects
+        """The endpoint closes the connection, and accepts the next one."""
+
+        async def close_after_request(sock):
+            await sock.recv(65536)
 
-        run_scenario(scenario, instances=2)
+        async def run():
+            listener = open_raw_port(close_after_request)
+            server = await curio.spawn(listener.run, daemon=True)
+            owned = make_owned_endpoint(
+                replace(ENDPOINT, address=listener.address)
+            )
+            result = await owned.serve(make_request())
+            await server.cancel()
+            return owned, result
+
+        owned, result = curio.run(run)
+        assert result.outcome is UpstreamOutcome.FAILED
+        assert not owned.context.crash_reports.quarantine.suspects
+
+    def test_planned_end_of_an_endpoint_is_no_crash(self):
+        async def scenario(fleet):
+            await start_crashing(fleet)
+            for name in ENDPOINTS:
+                fleet.put_report(name, state="draining")
+            owned = fleet.daemons[0].node.find_owned(ENDPOINTS[0])
+            await fleet.wait_until(lambda: owned.endpoint.is_draining)
+            owned.upstream.pool.address = CLOSED_PORT
+            assert not await has_crashed(owned)
+
+        run_scenario(scenario, endpoints=ENDPOINTS)
 
     def test_answered_request_is_cleared_on_all_instances(self):
         async def scenario(fleet):
