Remember cleared crashes so that reports end

Cause: an instance that had cleared a request took a late report of the same crash for new and sent it on, to instances that had cleared it too; reports of a crash and of the answer followed each other round the links for ever.

Change: a cleared crash is remembered until the request is forgotten, so each instance sends each report on at most once. Suspects are forgotten when requests are looked up too, not only at the next crash.

--- a/carawayvale/gateway/page_handlers.py
+++ b/carawayvale/gateway/page_handlers.py
@@ -119,6 +119,7 @@
     def _collect_gauges(self) -> dict[str, float]:
         node, now_s = self.node, read_boot_clock()
         owned = node.owned.values()
+        quarantine = node.crash_reports.quarantine
         configuration = node.catalogue.configuration
         traffic = self.change_feed.peers.measure_traffic()
         return {
@@ -133,7 +134,7 @@
             "endpoints_owned": len(owned),
             "endpoints_ejected": sum(o.health.ejected for o in owned),
             "endpoints_limited": len(node.notices.limits.list_limited()),
-            "requests_suspected": len(node.crash_reports.quarantine.suspects),
+            "requests_suspected": quarantine.count_suspects(),
             "endpoints_partitioned": int(node.reachability.is_partitioned),
             "members": len(node.membership.list_serving()),
             "members_age_s": now_s - node.members_changed_s,
--- a/carawayvale/gateway/tests/test_crashing_requests.py
+++ b/carawayvale/gateway/tests/test_crashing_requests.py
@@ -177,12 +177,18 @@
                 "GET", "/innocent", ((b"host", b"hulo.example"),), b"", 0.0
             )
             fingerprint = make_fingerprint(request)
+            quarantines = [
+                daemon.node.crash_reports.quarantine
+                for daemon in fleet.daemons
+            ]
             await fleet.wait_until(
                 lambda: all(
-                    fingerprint not in d.node.crash_reports.quarantine.suspects
-                    and d.node.crash_reports.quarantine.suspects
-                    for d in fleet.daemons
+                    not quarantine.suspects[fingerprint].crashes
+                    and quarantine.count_suspects()
+                    for quarantine in quarantines
+                    if fingerprint in quarantine.suspects
                 )
             )
+            assert all(fingerprint in q.suspects for q in quarantines)
 
         run_scenario(scenario, instances=3, endpoints=ENDPOINTS)
--- a/carawayvale/steering/quarantine.py
+++ b/carawayvale/steering/quarantine.py
@@ -47,12 +47,15 @@
     """A request that was in progress at crashes.
 
     :param crashes: the crashes since it was last answered.
+    :param cleared: the crashes before that. They are remembered, so that a
+        late report of one is not taken for a new crash and sent on again.
     :param updated_s: time of the latest crash.
     :param until_s: end of its quarantine; 0 without one.
     :param quarantine_s: length of the next quarantine in seconds.
     """
 
     crashes: set[EndpointCrash] = field(default_factory=set)
+    cleared: set[EndpointCrash] = field(default_factory=set)
     updated_s: float = 0.0
     until_s: float = 0.0
     quarantine_s: float = INITIAL_QUARANTINE_S
@@ -88,7 +91,7 @@
         """
         suspect = self.suspects.pop(fingerprint, None) or SuspectRequest()
         self.suspects[fingerprint] = suspect
-        if crash in suspect.crashes:
+        if crash in suspect.crashes or crash in suspect.cleared:
             return False
         suspect.crashes.add(crash)
         suspect.updated_s = now_s
@@ -120,7 +123,21 @@
         :param fingerprint: fingerprint of the request.
         :returns: whether it was a suspect.
         """
-        return self.suspects.pop(fingerprint, None) is not None
+        suspect = self.suspects.get(fingerprint)
+        if suspect is None or not suspect.crashes:
+            return False
+        suspect.cleared |= suspect.crashes
+        suspect.crashes.clear()
+        suspect.until_s = 0.0
+        suspect.quarantine_s = INITIAL_QUARANTINE_S
+        return True
+
+    def count_suspects(self) -> int:
+        """Count the requests with a crash since their last answer.
+
+        :returns: their number.
+        """
+        return sum(bool(s.crashes) for s in self.suspects.values())
 
     def list_quarantined(
         self, now_s: float
@@ -144,5 +161,6 @@
         :param now_s: the time.
         :returns: seconds; 0 if the request may be sent.
         """
+        self._forget_old(now_s)
         suspect = self.suspects.get(fingerprint)
         return max(0.0, suspect.until_s - now_s) if suspect else 0.0
--- a/carawayvale/steering/tests/test_quarantine.py
+++ b/carawayvale/steering/tests/test_quarantine.py
@@ -52,8 +52,18 @@
         record_crashes(quarantine, MAX_CRASHES - 1)
         assert quarantine.record_answer(REQUEST)
         assert not quarantine.record_answer(REQUEST)
-        record_crashes(quarantine, MAX_CRASHES - 1)
+        for number in range(10, 10 + MAX_CRASHES - 1):
+            quarantine.record_crash(REQUEST, make_crash(number), 0.0)
         assert quarantine.find_wait(REQUEST, 0.0) == 0.0
+        quarantine.record_crash(REQUEST, make_crash(20), 0.0)
+        assert quarantine.find_wait(REQUEST, 0.0) > 0.0
+
+    def test_late_report_of_a_cleared_crash_is_not_new(self):
+        quarantine = Quarantine("e1")
+        record_crashes(quarantine, 1)
+        quarantine.record_answer(REQUEST)
+        assert not quarantine.record_crash(REQUEST, make_crash(0), 0.0)
+        assert quarantine.count_suspects() == 0
 
     def test_each_crash_after_a_quarantine_doubles_it(self):
         quarantine = Quarantine("e1")
@@ -110,15 +120,17 @@
     def test_only_crashes_without_an_answer_between_count(self, events):
         quarantine = Quarantine("e1")
         crashes = {REQUEST: set(), OTHER: set()}
+        cleared = {REQUEST: set(), OTHER: set()}
         quarantined = set()
         for fingerprint, number, answered in events:
             if answered:
                 quarantine.record_answer(fingerprint)
+                cleared[fingerprint] |= crashes[fingerprint]
                 crashes[fingerprint].clear()
                 quarantined.discard(fingerprint)
                 continue
             quarantine.record_crash(fingerprint, make_crash(number), 0.0)
-            crashes[fingerprint].add(number)
+            crashes[fingerprint] |= {number} - cleared[fingerprint]
             if len(crashes[fingerprint]) >= MAX_CRASHES:
                 quarantined.add(fingerprint)
         for fingerprint in crashes:
