Read the fake store's changes once more when the wait of a watch ends

Its log shows the time: the only watcher began a watch of 1 s at 38.957 s, and the change was written at 39.96 to 39.98 s.

Cause: the fake store looked for changes, slept for 10 ms, and responded at the end of the wait without looking again, but with the revision of that moment. A change written during the last 10 ms was in no response, and the client went on after it. The protocol forbids that (continue from the revision of the response), so the fault is the fake's; the product is not changed.

Evidence: test_change_at_the_end_of_the_wait_is_not_lost failed before (revision 11, no items) and passes; 184 tests of the platform, the fleet and the takeover pass.

--- a/carawayvale/platform/tests/fakes.py
+++ b/carawayvale/platform/tests/fakes.py
@@ -153,16 +153,16 @@
 
     async def _watch(self, query, request):
         after = int(query["after"])
+        wait_s = int(query["wait_ms"]) / 1000
         elapsed_s = 0.0
-        while elapsed_s < int(query["wait_ms"]) / 1000:
+        while True:
             if not self.history_start <= after <= self.revision:
                 return Response(410)
             events = [row for row in self.history if row["rev"] > after]
-            if events:
+            if events or elapsed_s >= wait_s:
                 return self._make_response(events=events)
             await curio.sleep(POLL_S)
             elapsed_s += POLL_S
-        return self._make_response(events=[])
 
     async def _lease(self, query, request):
         self.leases += 1
--- a/carawayvale/platform/tests/test_store_client.py
+++ b/carawayvale/platform/tests/test_store_client.py
@@ -13,6 +13,7 @@
 from carawayvale.platform.store_responses import StoreFailed
 from carawayvale.platform.tests.fakes import FakeStore
 from carawayvale.platform.tests.fakes import open_port
+from carawayvale.platform.tests.fakes import POLL_S
 
 TIMEOUT_S = 5.0
 PAGE_ITEMS = 50  # of the fake store
@@ -65,6 +66,22 @@
         run_with_store(scenario)
 
 
+class TestEndOfWatch:
+    def test_change_at_the_end_of_the_wait_is_not_lost(self):
+        async def scenario(store, client):
+            reading = await client.read_all("")
+            watch = await curio.spawn(
+                client.watch, "", reading.revision, POLL_S
+            )
+            while "GET /kv-watch" not in store.calls:
+                await curio.sleep(0)
+            store.put("a", b"x")
+            changes = await watch.join()
+            assert changes.revision == reading.revision or changes.items
+
+        run_with_store(scenario)
+
+
 class TestReturnFromCopy:
     def test_watch_does_not_skip_changes_at_reused_revisions(self):
         async def scenario(store, client):
