Remove a question of the cold limit that only tests ask

The queue asks when a request may start (find_start) since rate limits of both kinds go through it. The tests ask the same now: a request may be sent if its start is not later than now, which is what may_send compared.

--- a/carawayvale/steering/rates.py
+++ b/carawayvale/steering/rates.py
@@ -38,8 +38,8 @@
     :param now_s: time at which the limit begins to apply.
 
     >>> limit = ColdRateLimit(10.0, 0.0)
-    >>> limit.may_send(0.0), limit.may_send(1.0)
-    (False, True)
+    >>> limit.find_start(0.0, 0) > 0.0, limit.find_start(1.0, 0)
+    (True, 1.0)
     """
 
     rate: float
@@ -53,14 +53,6 @@
         """Seconds between two requests."""
         return 1.0 / (COLD_RATE_FRACTION * self.rate) if self.rate > 0 else 1.0
 
-    def may_send(self, now_s: float) -> bool:
-        """Tell whether a request may be sent.
-
-        :param now_s: the time.
-        :returns: whether it may.
-        """
-        return now_s >= self.next_s
-
     def find_start(self, now_s: float, ahead: int) -> float:
         """Find when a request may be sent.
 
--- a/carawayvale/steering/tests/test_decisions.py
+++ b/carawayvale/steering/tests/test_decisions.py
@@ -140,7 +140,7 @@
         for limit in (ColdRateLimit(rate, 0.0), ColdRateLimit(rate, 0.0)):
             for step in range(5000):
                 now_s = step / 1000
-                if limit.may_send(now_s):
+                if limit.find_start(now_s, 0) <= now_s:
                     limit.record_send(now_s)
                     sent.append(now_s)
         for start_s in sent:
@@ -148,7 +148,7 @@
             assert len(window) <= rate * 1.5 + 5
 
     def test_a_new_owner_starts_as_if_a_request_was_just_sent(self):
-        assert not ColdRateLimit(12.0, 5.0).may_send(5.0)
+        assert ColdRateLimit(12.0, 5.0).find_start(5.0, 0) > 5.0
 
 
 class TestFleetRetryBudget:
