Make the fingerprint of a request once

Cause: while there are suspects (up to two minutes after a crash) an instance made the fingerprint of each request up to three times, body included: at the entry, before the send and after the answer.

Change: the fingerprint is a cached property of the request, and the entry asks with the request that the owner gets.

--- a/carawayvale/gateway/crash_reports.py
+++ b/carawayvale/gateway/crash_reports.py
@@ -7,7 +7,6 @@
 
 from carawayvale.catalogue.records import EndpointRecord
 from carawayvale.contracts.clock import read_boot_clock
-from carawayvale.gateway.fingerprints import make_fingerprint
 from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.observer import RequestObserver
 from carawayvale.links.crash_messages import AnswerReport
@@ -47,8 +46,9 @@
         """
         if not self.quarantine.suspects:
             return 0.0
-        fingerprint = make_fingerprint(request)
-        return self.quarantine.find_wait(fingerprint, read_boot_clock())
+        return self.quarantine.find_wait(
+            request.fingerprint, read_boot_clock()
+        )
 
     async def record_crash(
         self, endpoint: EndpointRecord, request: Request
@@ -58,10 +58,10 @@
         :param endpoint: the endpoint.
         :param request: the request.
         """
-        fingerprint = make_fingerprint(request)
-        await self._apply_crash(
-            CrashReport(fingerprint, endpoint.name, endpoint.started_ms), ""
+        report = CrashReport(
+            request.fingerprint, endpoint.name, endpoint.started_ms
         )
+        await self._apply_crash(report, "")
 
     async def record_answer(self, request: Request) -> None:
         """Record and report that an endpoint answered a request.
@@ -69,9 +69,7 @@
         :param request: the request.
         """
         if self.quarantine.suspects:
-            await self._apply_answer(
-                AnswerReport(make_fingerprint(request)), ""
-            )
+            await self._apply_answer(AnswerReport(request.fingerprint), "")
 
     async def greet(self, link: PeerLink) -> None:
         """Tell a newly linked peer which requests are in quarantine.
--- a/carawayvale/gateway/endpoint_exchange.py
+++ b/carawayvale/gateway/endpoint_exchange.py
@@ -7,7 +7,6 @@
 from carawayvale.catalogue.records import EndpointRecord
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.endpoint_checks import has_crashed
-from carawayvale.gateway.fingerprints import make_fingerprint
 from carawayvale.gateway.observer import format_ms
 from carawayvale.gateway.owner_request import OwnerRequest
 from carawayvale.gateway.upstream import HTTP_MISDIRECTED
@@ -170,7 +169,7 @@
     def _describe_run(self, result: UpstreamResult) -> dict[str, object]:
         queue = self.owned.queue
         return {
-            "fingerprint": make_fingerprint(self.owner_request.request).hex(),
+            "fingerprint": self.owner_request.request.fingerprint.hex(),
             "endpoint": self.endpoint.name,
             "status": result.status,
             "estimate_ms": format_ms(self.queued.service_time_s),
--- a/carawayvale/gateway/http_messages.py
+++ b/carawayvale/gateway/http_messages.py
@@ -1,9 +1,13 @@
 """Complete requests and responses."""
 
 from dataclasses import dataclass
+from functools import cached_property
+from hashlib import blake2b
 
 from carawayvale.links.http import find_header
 
+FINGERPRINT_BYTES = 16
+
 
 @dataclass(frozen=True)
 class Request:
@@ -48,6 +52,32 @@
         """Query of the target."""
         return self.target.partition("?")[2]
 
+    @cached_property
+    def fingerprint(self) -> bytes:
+        """Hash of what the request asks for.
+
+        Requests of one caller that differ only in other headers, such as
+        their id and deadline, have the same fingerprint.
+
+        >>> first = Request("GET", "/a", ((b"x-request-id", b"1"),), b"", 0.0)
+        >>> again = Request("GET", "/a", ((b"x-request-id", b"2"),), b"", 9.0)
+        >>> first.fingerprint == again.fingerprint
+        True
+        """
+        digest = blake2b(digest_size=FINGERPRINT_BYTES)
+        parts = (
+            self.method.encode("latin-1"),
+            (self.find(b"host") or b"").lower(),
+            self.target.encode("latin-1", "replace"),
+            self.find(b"authorization") or b"",
+            self.find(b"cookie") or b"",
+            self.body,
+        )
+        for part in parts:
+            digest.update(b"%d:" % len(part))
+            digest.update(part)
+        return digest.digest()
+
 
 @dataclass(frozen=True)
 class Response:
--- a/carawayvale/gateway/proxy_handler.py
+++ b/carawayvale/gateway/proxy_handler.py
@@ -78,7 +78,9 @@
             WarmUpChoices(route.idempotent),
         )
         self.node.find_retry_budget(service).record_request(request.arrived_s)
-        context.quarantine_s = self.node.crash_reports.find_wait(request)
+        context.quarantine_s = self.node.crash_reports.find_wait(
+            owner_request.request
+        )
         if context.quarantine_s:
             return self._make_failure_response(context)
         try:
--- a/carawayvale/gateway/tests/test_crashing_requests.py
+++ b/carawayvale/gateway/tests/test_crashing_requests.py
@@ -7,7 +7,6 @@
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.endpoint_checks import has_crashed
-from carawayvale.gateway.fingerprints import make_fingerprint
 from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.tests.crashing import call_deadly
 from carawayvale.gateway.tests.crashing import DEADLY_PATH
@@ -176,7 +175,7 @@
             request = Request(
                 "GET", "/innocent", ((b"host", b"hulo.example"),), b"", 0.0
             )
-            fingerprint = make_fingerprint(request)
+            fingerprint = request.fingerprint
             quarantines = [
                 daemon.node.crash_reports.quarantine
                 for daemon in fleet.daemons
--- a/carawayvale/gateway/tests/test_fingerprints.py
+++ b/carawayvale/gateway/tests/test_fingerprints.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from carawayvale.gateway.fingerprints import make_fingerprint
 from carawayvale.gateway.http_messages import Request
 
 REQUEST = Request(
@@ -18,13 +17,13 @@
         again = replace(
             REQUEST, headers=REQUEST.headers + headers, arrived_s=9.0
         )
-        assert make_fingerprint(again) == make_fingerprint(REQUEST)
+        assert again.fingerprint == REQUEST.fingerprint
 
     def test_host_counts_without_its_case(self):
         again = replace(
             REQUEST, headers=((b"host", b"H.example"), (b"cookie", b"c"))
         )
-        assert make_fingerprint(again) == make_fingerprint(REQUEST)
+        assert again.fingerprint == REQUEST.fingerprint
 
     @pytest.mark.parametrize(
         "change",
@@ -41,4 +40,7 @@
     )
     def test_request_of_another_caller_or_content_differs(self, change):
         other = replace(REQUEST, **change)
-        assert make_fingerprint(other) != make_fingerprint(REQUEST)
+        assert other.fingerprint != REQUEST.fingerprint
+
+    def test_fingerprint_is_made_once(self):
+        assert REQUEST.fingerprint is REQUEST.fingerprint
