Order revisions of the own document by the epoch of its store

The key's revision and the document's are given out again, and were compared as unique numbers.

Change: both are packed positions, an epoch and a count. The store's state moves all revisions into a new epoch when it returns, so a watch from an earlier one responds at once and a write with one is refused. An edit gets the epoch of the key that it replaces, so its revision is above all that was lost. A document in force that is newer than that of the copy stays until then, as an accepted edit is never reverted by instances alone.

The gateway is not touched.

--- a/carawayvale/catalogue/position.py
+++ b/carawayvale/catalogue/position.py
@@ -49,6 +49,19 @@
     return StorePosition(epoch, packed - (epoch << REVISION_BITS))
 
 
+def format_position(packed: int) -> str:
+    """Format a packed position for people.
+
+    :param packed: the packed position.
+    :returns: the revision, with its epoch unless that is the first one.
+
+    >>> format_position(9), format_position(StorePosition(1, 9).pack())
+    ('9', '1:9')
+    """
+    position = unpack_position(packed)
+    return str(position) if position.epoch else str(position.revision)
+
+
 def find_epoch(packed: int) -> int:
     """Find the epoch of a packed position.
 
--- a/carawayvale/commands/documents.py
+++ b/carawayvale/commands/documents.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from carawayvale.catalogue.position import format_position
 from carawayvale.commands.client import read_states
 from carawayvale.commands.client import send_call
 from carawayvale.commands.client import Unreachable
@@ -76,7 +77,8 @@
         """
         snapshot = self._read_snapshot()
         if not section:
-            print(f"# revision {snapshot.envelope.revision}")
+            revision = format_position(snapshot.envelope.revision)
+            print(f"# revision {revision}")
             print(snapshot.document.text)
             return
         found = snapshot.document.sections.get(section)
@@ -105,8 +107,8 @@
                 "%Y-%m-%dT%H:%M:%SZ", time.gmtime(edit.time_s)
             )
             print(
-                f"revision={edit.revision} time={edit_time} team={edit.team} "
-                f"section={edit.section} edit={edit.edit_id}"
+                f"revision={format_position(edit.revision)} time={edit_time} "
+                f"team={edit.team} section={edit.section} edit={edit.edit_id}"
             )
 
     def edit(
@@ -182,7 +184,7 @@
     :param result: result of the edit.
     """
     if result.status is EditStatus.ACCEPTED:
-        print(f"accepted as revision {result.revision}")
+        print(f"accepted as revision {format_position(result.revision)}")
         return
     lines = [f"{result.status.value}: nothing else was changed"]
     if result.status is EditStatus.UNKNOWN:
--- a/carawayvale/commands/main.py
+++ b/carawayvale/commands/main.py
@@ -10,6 +10,7 @@
 import fire
 from fire import decorators
 
+from carawayvale.catalogue.position import format_position
 from carawayvale.commands.client import read_states
 from carawayvale.commands.client import send_call
 from carawayvale.commands.client import Unreachable
@@ -268,7 +269,7 @@
     """
     alive = [m for m in state["members"] if m["state"] == "alive"]
     return (
-        f"name={state['name']} revision={state['revision']} "
+        f"name={state['name']} revision={format_position(state['revision'])} "
         f"ready={state['ready']} draining={state['draining']} "
         f"in_flight={state['in_flight']} members={len(alive)} "
         f"shards={len(state['shards'])} watcher={state['watcher']} "
--- a/carawayvale/documents/document_updater.py
+++ b/carawayvale/documents/document_updater.py
@@ -3,10 +3,12 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import replace
 import random
 
 import curio
 
+from carawayvale.catalogue.position import unpack_position
 from carawayvale.documents.envelope import CHANGE_KEY_PREFIX
 from carawayvale.documents.envelope import decode_change
 from carawayvale.documents.envelope import decode_envelope
@@ -46,8 +48,8 @@
         leaving.
     :param seed: seed of the jitter.
     :param key_revision: latest known revision of the document's key.
-    :param revision_offset: revision of the key minus revision of the
-        document.
+    :param revision_offset: number of writes of the key minus number of
+        accepted changes of the document.
     :param retry_delay_s: mean delay in seconds before the next retry.
     :param is_store_down: whether the store did not respond to the latest
         update.
@@ -126,12 +128,18 @@
 
         Only the change is read if the replica is one revision behind.
         """
-        expected = new_key_revision - self.revision_offset
+        expected = self._find_expected(new_key_revision)
         if self.key_revision and self.document_replica.revision >= expected:
             self.key_revision = new_key_revision
         elif not self.key_revision or not await self._read_change(expected):
             await self._read_document()
 
+    def _find_expected(self, key_revision: int) -> int:
+        """Find the document revision that belongs to a key revision."""
+        position = unpack_position(key_revision)
+        count = position.revision - self.revision_offset
+        return replace(position, revision=count).pack()
+
     async def _read_change(self, revision: int) -> bool:
         """Read and apply only the change to a document revision.
 
@@ -187,7 +195,10 @@
             elif self.document_replica.accept(result.ok):
                 await self.on_document()
         self.key_revision = max(self.key_revision, stored.revision)
-        self.revision_offset = stored.revision - envelope.revision
+        self.revision_offset = (
+            unpack_position(stored.revision).revision
+            - unpack_position(envelope.revision).revision
+        )
 
     def _log_findings(self, findings: list) -> None:
         for finding in findings:
--- a/carawayvale/documents/editor.py
+++ b/carawayvale/documents/editor.py
@@ -295,7 +295,7 @@
         if owner is None and new_owner != edit.team:
             finding = Finding(place, f"must be {edit.team}")
             return Error(EditResult(EditStatus.FORBIDDEN, 0, (finding,)))
-        revision = snapshot.envelope.revision + 1
+        revision = snapshot.envelope.find_next_revision(snapshot.key_revision)
         record = EditRecord(
             edit_id, revision, edit.team, edit.section, time.time()
         )
--- a/carawayvale/documents/envelope.py
+++ b/carawayvale/documents/envelope.py
@@ -8,6 +8,9 @@
 from expression import Ok
 from expression import Result
 
+from carawayvale.catalogue.position import find_epoch
+from carawayvale.catalogue.position import StorePosition
+from carawayvale.catalogue.position import unpack_position
 from carawayvale.contracts.document import Document
 from carawayvale.contracts.document import EMPTY_DOCUMENT
 from carawayvale.contracts.document import parse_document
@@ -43,7 +46,8 @@
 class Envelope:
     """Value of the document's key in the store.
 
-    :param revision: document revision, the number of accepted changes.
+    :param revision: document revision: the number of accepted changes and
+        the epoch of the store, as a packed position.
     :param text: document as INI text.
     :param edits: records of the newest edits, oldest first.
     """
@@ -59,6 +63,18 @@
         """
         return json.dumps(asdict(self))
 
+    def find_next_revision(self, key_revision: int) -> int:
+        """Find the document revision of the next accepted change.
+
+        It is higher than that of a change which the store has lost with a
+        return from a copy.
+
+        :param key_revision: revision of the document's key.
+        :returns: the document revision.
+        """
+        count = unpack_position(self.revision).revision + 1
+        return StorePosition(find_epoch(key_revision), count).pack()
+
     def find_edit(self, edit_id: str) -> EditRecord | None:
         """Find the record of a recent edit.
 
--- a/carawayvale/documents/store.py
+++ b/carawayvale/documents/store.py
@@ -20,7 +20,9 @@
     """A value and the revision of its key.
 
     :param value: text of at most a megabyte.
-    :param revision: revision of the key; each write increases it.
+    :param revision: revision of the key as a packed
+        :class:`~carawayvale.catalogue.position.StorePosition`. Each write
+        increases it, and so does each return of the store from a copy.
     """
 
     value: str
--- a/carawayvale/documents/store_state.py
+++ b/carawayvale/documents/store_state.py
@@ -2,7 +2,10 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 
+from carawayvale.catalogue.position import StorePosition
+from carawayvale.catalogue.position import unpack_position
 from carawayvale.documents.store import ListedInstance
 from carawayvale.documents.store import StoredValue
 from carawayvale.documents.store import WriteResult
@@ -29,6 +32,7 @@
     :param values: value and revision by key.
     :param leases: leases by name.
     :param instances: listed instances by name.
+    :param epoch: number of returns from a copy, part of all revisions.
 
     >>> state = StoreState()
     >>> state.write("key", "a", 0).written, state.write("key", "b", 0).written
@@ -38,6 +42,7 @@
     values: dict[str, StoredValue] = field(default_factory=dict)
     leases: dict[str, Lease] = field(default_factory=dict)
     instances: dict[str, ListedInstance] = field(default_factory=dict)
+    epoch: int = 0
 
     def read(self, key: str) -> StoredValue | None:
         """Read a value.
@@ -62,8 +67,35 @@
         current = stored.revision if stored else 0
         if current != revision:
             return WriteResult(False, current)
-        self.values[key] = StoredValue(value, current + 1)
-        return WriteResult(True, current + 1)
+        new = self._renew(current) + 1
+        self.values[key] = StoredValue(value, new)
+        return WriteResult(True, new)
+
+    def _renew(self, revision: int) -> int:
+        """Move a revision into the current epoch."""
+        count = unpack_position(revision).revision
+        return StorePosition(self.epoch, count).pack()
+
+    def copy(self) -> dict[str, StoredValue]:
+        """Copy the values, to return from the copy later.
+
+        :returns: value and revision by key.
+        """
+        return dict(self.values)
+
+    def restore(self, copy: dict[str, StoredValue]) -> None:
+        """Return from a copy: later writes and all leases are gone.
+
+        A new epoch begins, and the values have revisions of it.
+
+        :param copy: value and revision by key.
+        """
+        self.epoch += 1
+        self.values = {
+            key: replace(stored, revision=self._renew(stored.revision))
+            for key, stored in copy.items()
+        }
+        self.leases.clear()
 
     def claim_lease(
         self, name: str, holder: str, ttl_s: float, now_s: float
--- a/carawayvale/documents/tests/test_stores.py
+++ b/carawayvale/documents/tests/test_stores.py
@@ -121,6 +121,29 @@
 
         run(check)
 
+    def test_no_revision_is_given_out_again_after_a_return(self, run):
+        async def check(store, state, set_faults):
+            await store.write("k", "a", 0)
+            copy = state.copy()
+            lost = await store.write("k", "lost", 1)
+            state.restore(copy)
+            returned = await store.watch("k", lost.revision, 0)
+            assert returned > lost.revision
+            assert not (await store.write("k", "b", lost.revision)).written
+            again = await store.write("k", "b", returned)
+            assert again.written and again.revision > returned
+
+        run(check)
+
+    def test_leases_end_with_a_return(self, run):
+        async def check(store, state, set_faults):
+            copy = state.copy()
+            assert await store.claim_lease("l", "a", 60)
+            state.restore(copy)
+            assert await store.claim_lease("l", "b", 60)
+
+        run(check)
+
     def test_instance_list_is_read(self, run):
         async def check(store, state, set_faults):
             state.instances["g1"] = ListedInstance("g1", True)
