Print the revision of a gateway's state as the gateway sends it

Cause: since the revision of the own document is printed with its epoch, the status command failed for a gateway, which sends its position as text. Evidence: test_state_has_the_fields_that_the_status_command_prints failed on and passes; the 41 tests of the fleet and those of the commands pass.

--- a/carawayvale/commands/main.py
+++ b/carawayvale/commands/main.py
@@ -268,8 +268,12 @@
     :returns: the formatted line.
     """
     alive = [m for m in state["members"] if m["state"] == "alive"]
+    revision = state["revision"]
+    if isinstance(revision, int):
+        # Entry instances send the packed position, gateways its text.
+        revision = format_position(revision)
     return (
-        f"name={state['name']} revision={format_position(state['revision'])} "
+        f"name={state['name']} revision={revision} "
         f"ready={state['ready']} draining={state['draining']} "
         f"in_flight={state['in_flight']} members={len(alive)} "
         f"shards={len(state['shards'])} watcher={state['watcher']} "
