Split the owners of endpoints and the full endpoints off the node

Who owns an endpoint is now EndpointOwners, which endpoints were full a short time ago FullEndpoints, a decision of its own that takes the time as an argument and forgets what is over. The logic is moved, not changed; the tests of gateway and steering pass.

--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -1,8 +1,5 @@
 """Hold the state that the tasks and handlers of an instance share."""
 
-from collections.abc import Iterable
-from dataclasses import dataclass
-
 from carawayvale.catalogue.builder import CatalogueBuilder
 from carawayvale.catalogue.header_names import HeaderNames
 from carawayvale.catalogue.records import Catalogue
@@ -13,10 +10,10 @@
 from carawayvale.catalogue.source import Source
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import read_boot_clock
-from carawayvale.contracts.hashing import hash_text
 from carawayvale.gateway.crash_reports import CrashReports
 from carawayvale.gateway.endpoint_context import EndpointContext
 from carawayvale.gateway.endpoint_notices import EndpointNotices
+from carawayvale.gateway.endpoint_owners import EndpointOwners
 from carawayvale.gateway.forward_table import ForwardTable
 from carawayvale.gateway.observer import RequestObserver
 from carawayvale.gateway.owned_endpoint import OwnedEndpoint
@@ -25,6 +22,7 @@
 from carawayvale.links.membership import Membership
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links.messages import MemberState
+from carawayvale.steering.full_endpoints import FullEndpoints
 from carawayvale.steering.placement import group_by_region
 from carawayvale.steering.rates import FleetRetryBudget
 from carawayvale.steering.rates import ShiftLimit
@@ -32,36 +30,12 @@
 from carawayvale.steering.routing import RouteTable
 from carawayvale.steering.spill import SpillPolicy
 from carawayvale.telemetry.logs import log_event
-from carawayvale.zones.owner_table import Ownership
-from carawayvale.zones.owner_table import OwnerTable
-from carawayvale.zones.shards import Candidate
-from carawayvale.zones.shards import Shard
-
-# An instance that could not be reached gets no requests for this long.
-UNREACHABLE_BACKOFF_S = 1.0
-
-# An endpoint without room for a request within its objective gets no
-# further requests for this long, in the own region and in another one.
-FULL_BACKOFF_S = 0.05
-REMOTE_FULL_BACKOFF_S = 0.15
 
 # Fraction of the retry budget that repeats for new objects leave for
 # requests that failed.
 REPEAT_RESERVE = 0.25
 
 
-@dataclass(frozen=True)
-class FullEndpoint:
-    """Report of an owner that its endpoint is full.
-
-    :param until_s: time until which the endpoint gets no requests.
-    :param finish_s: seconds until the request would have been complete.
-    """
-
-    until_s: float
-    finish_s: float
-
-
 class GatewayNode:
     """State that all tasks and handlers of one instance share.
 
@@ -85,16 +59,14 @@
         self.catalogue: Catalogue = EMPTY_CATALOGUE
         self.routes = RouteTable(())
         self.usable_endpoints: dict[str, dict[str, list[EndpointRecord]]] = {}
-        self.owner_table = OwnerTable()
-        self._ownership: Ownership | None = None
+        self.owners = EndpointOwners(membership)
         self.owned: dict[str, OwnedEndpoint] = {}
         self.released: list[OwnedEndpoint] = []
         self.peer_pools = ConnectionPools()
         self.retry_budgets: dict[str, FleetRetryBudget] = {}
         self.spills: dict[tuple[str, bool], SpillPolicy] = {}
         self.shift_limit = ShiftLimit(settings.bounds.max_shift)
-        self.backoff_until_s: dict[str, float] = {}
-        self.full: dict[str, FullEndpoint] = {}
+        self.full_endpoints = FullEndpoints()
         self.forwards = ForwardTable()
         self.leaving = False
         self.reachability = Reachability()
@@ -111,7 +83,7 @@
             self.notices,
             self.crash_reports,
             self._may_repeat,
-            self.owns,
+            self.owners.is_owner,
             self.reachability.record_connect,
         )
 
@@ -150,10 +122,9 @@
         self._group_usable_endpoints()
         if old.evacuated != catalogue.evacuated:
             self.shift_limit.suspend(now_s + self.settings.bounds.stable_s)
-        if old.endpoints.keys() != catalogue.endpoints.keys():
-            self.invalidate_owners()
-            for name in old.endpoints.keys() - catalogue.endpoints.keys():
-                self.notices.forget_limit(name)
+        self.owners.set_endpoints(catalogue.endpoints)
+        for name in old.endpoints.keys() - catalogue.endpoints.keys():
+            self.notices.forget_limit(name)
         self._update_owned(now_s)
 
     def _group_usable_endpoints(self) -> None:
@@ -179,42 +150,13 @@
         :param now_s: the time.
         """
         self.members_changed_s = now_s
-        self.invalidate_owners()
+        self.owners.invalidate()
         region = self.settings.region
         serving = self.membership.list_serving()
         self.shift_limit.set_instances(
             sum(record.region == region for record in serving)
         )
 
-    def invalidate_owners(self) -> None:
-        """Note that the members or the endpoints changed.
-
-        The owners are computed when they are next read, once for all
-        changes until then.
-        """
-        self._ownership = None
-
-    @property
-    def ownership(self) -> Ownership:
-        """Owners of all endpoints, each of which is a shard of its own."""
-        if self._ownership is None:
-            self._ownership = self._assign_owners()
-        return self._ownership
-
-    def _assign_owners(self) -> Ownership:
-        endpoints = self.catalogue.endpoints
-        self.owner_table.set_shards(
-            [
-                Shard(e.name, e.service, e.region, e.domain, ())
-                for _, e in sorted(endpoints.items())
-            ]
-        )
-        self.owner_table.set_candidates(
-            Candidate(record.name, record.region, record.domain)
-            for record in self.membership.list_serving()
-        )
-        return self.owner_table.assign()
-
     def _update_owned(self, now_s: float) -> None:
         for name, owned in list(self.owned.items()):
             endpoint = self.catalogue.endpoints.get(name)
@@ -269,80 +211,12 @@
         log_event("endpoint_owned", endpoint=name, service=service.name)
         return owned
 
-    def owns(self, endpoint: str) -> bool:
-        """Tell whether this instance is the owner of an endpoint.
-
-        :param endpoint: name of the endpoint.
-        :returns: whether it is the first of the candidates.
-        """
-        owners = self.ownership.owner_lists.get(endpoint)
-        return bool(owners) and owners[0] == self.settings.name
-
     def _may_repeat(self, service: str) -> bool:
         """Spend one retry of the budget for a repeat, if one is left."""
         return self.find_retry_budget(service).spend(
             read_boot_clock(), len(self.membership.records), REPEAT_RESERVE
         )
 
-    def list_owners(
-        self,
-        endpoint: EndpointRecord,
-        allowed_regions: frozenset[str] = frozenset(),
-    ) -> list[str]:
-        """List the reachable owner candidates of an endpoint in order.
-
-        If no instance serves in the endpoint's region, the instances of
-        all regions are candidates. If none of these may handle the request,
-        the leaving ones are, since they serve on for a while.
-
-        :param endpoint: the endpoint.
-        :param allowed_regions: regions whose instances may handle the request;
-            empty for all. This instance is listed in any case, since it
-            has the request already.
-        :returns: names of the instances, the owner first.
-        """
-        order: Iterable[str] = self.ownership.owner_lists.get(
-            endpoint.name, ()
-        )
-        if not order:
-            names = [r.name for r in self.membership.list_serving()]
-            names.sort(key=lambda n: hash_text(f"{endpoint.name}|{n}"))
-            order = names
-        owners = [
-            name
-            for name in order
-            if self.membership.accepts_requests(name)
-            and self._may_handle(name, allowed_regions)
-        ]
-        if not owners:
-            owners = [
-                name
-                for name in self._list_leaving(endpoint)
-                if self._may_handle(name, allowed_regions)
-            ]
-        now_s = read_boot_clock()
-        return [
-            name
-            for name in owners
-            if now_s >= self.backoff_until_s.get(name, 0.0)
-        ]
-
-    def _list_leaving(self, endpoint: EndpointRecord) -> list[str]:
-        """List the leaving instances, those near an endpoint first."""
-        leaving = self.membership.list_leaving()
-        leaving.sort(
-            key=lambda record: (
-                record.region != endpoint.region,
-                hash_text(f"{endpoint.name}|{record.name}"),
-            )
-        )
-        return [record.name for record in leaving]
-
-    def _may_handle(self, name: str, allowed_regions: frozenset[str]) -> bool:
-        if not allowed_regions or name == self.settings.name:
-            return True
-        return self.membership.records[name].region in allowed_regions
-
     def describe_state(self, name: str) -> str:
         """Name the state of an instance for logs and metrics.
 
@@ -353,40 +227,6 @@
         record = self.membership.records.get(name)
         return "unknown" if record is None else record.state.name.lower()
 
-    def back_off(self, name: str) -> None:
-        """Send no requests to an unreachable instance for a while.
-
-        :param name: name of the instance.
-        """
-        self.backoff_until_s[name] = read_boot_clock() + UNREACHABLE_BACKOFF_S
-
-    def record_full(self, endpoint: EndpointRecord, finish_s: float) -> None:
-        """Record that an endpoint had no room within the objective.
-
-        :param endpoint: the endpoint.
-        :param finish_s: seconds until the request would have been
-            complete.
-        """
-        near = endpoint.region == self.settings.region
-        wait_s = FULL_BACKOFF_S if near else REMOTE_FULL_BACKOFF_S
-        until_s = read_boot_clock() + wait_s
-        self.full[endpoint.name] = FullEndpoint(until_s, finish_s)
-
-    def find_full(
-        self, endpoint: EndpointRecord, now_s: float
-    ) -> float | None:
-        """Look up whether an endpoint was full a short time ago.
-
-        :param endpoint: the endpoint.
-        :param now_s: the time.
-        :returns: seconds until the request would have been complete;
-            None if the endpoint may get a request.
-        """
-        known = self.full.get(endpoint.name)
-        if known is None or now_s >= known.until_s:
-            return None
-        return known.finish_s
-
     def abort_forwards(self) -> None:
         """Abort idempotent requests at owners that cannot finish them."""
         for owner in self.forwards.list_owners():
--- a/carawayvale/gateway/request_attempts.py
+++ b/carawayvale/gateway/request_attempts.py
@@ -155,7 +155,7 @@
             if name in context.attempted:
                 continue
             may_warm_up = choices.may_warm_up(region, name)
-            finish_s = node.find_full(endpoint, now_s)
+            finish_s = node.full_endpoints.find(name, now_s)
             if finish_s is not None and not owner_request.may_be_late:
                 context.full[name] = finish_s
                 context.attempts.append((name, "known_full"))
@@ -180,7 +180,9 @@
                 context.full[name] = result.finish_s
                 if result.busy:
                     choices.record_busy(region, name)
-                    node.record_full(endpoint, result.finish_s)
+                    node.full_endpoints.record(
+                        name, not is_remote, result.finish_s, read_boot_clock()
+                    )
                 continue
             if result.outcome is UpstreamOutcome.QUARANTINED:
                 context.quarantine_s = result.finish_s
@@ -215,7 +217,9 @@
 
         :returns: the result; None if no owner could be reached.
         """
-        owners = self.node.list_owners(endpoint, context.route.allowed_regions)
+        owners = self.node.owners.list_owners(
+            endpoint, context.route.allowed_regions
+        )
         for owner in owners[:MAX_OWNERS]:
             try:
                 result = await serve_at_owner(
@@ -226,7 +230,7 @@
                     context.lost_owners.append(LostOwner(owner, state))
                 return result
             except OwnerUnreachable as error:
-                self.node.back_off(owner)
+                self.node.owners.back_off(owner)
                 log_event(
                     "owner_unreachable",
                     "WARNING",
--- a/carawayvale/gateway/tests/test_stated_limits.py
+++ b/carawayvale/gateway/tests/test_stated_limits.py
@@ -33,7 +33,7 @@
 def find_owner(fleet, endpoint):
     """Find the instance that owns an endpoint."""
     node = fleet.daemons[0].node
-    name = node.ownership.owner_lists[endpoint][0]
+    name = node.owners.ownership.owner_lists[endpoint][0]
     return next(d for d in fleet.daemons if d.settings.name == name)
 
 
@@ -70,7 +70,8 @@
                 await owner.stop()
             others = [d for d in fleet.daemons if d is not owner]
             assert all(
-                d.node.ownership.owner_lists["i-1"][0] != owner.settings.name
+                d.node.owners.ownership.owner_lists["i-1"][0]
+                != owner.settings.name
                 for d in others
             )
             times_s = [r.arrived_s for r in endpoint.runs]
--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -10,6 +10,7 @@
         "Rejection",
     ),
     "departures": ("Departures",),
+    "full_endpoints": ("FullEndpoints",),
     "health": (
         "EndpointHealth",
         "HealthSignal",
