End the demo's store after its entry instances

A newcomer saw: make demo logs store_unreachable four times (once, in the users' run), with an error of the protocol library as its cause.

Cause: one task group ended all tasks in the order of their start, so the store's connections broke while the instances still watched it.

Change: the instances have a group of their own, inside that of the servers. Evidence: test_demo_ends_its_store_after_the_instances failed before (two lines) and passes, four of four; make demo ends without a warning.

--- a/carawayvale/commands/demo.py
+++ b/carawayvale/commands/demo.py
@@ -117,21 +117,27 @@
 
         :returns: whether there are no findings.
         """
-        async with curio.TaskGroup(wait=None) as group:
-            await self._start_backends(group)
-            await self._start_store(group)
-            await self._start_entries(group)
-            await self._wait_until_ready()
-            self.end_s = time.monotonic() + self.seconds
-            callers = await self._start_callers()
-            await self._drain_backend()
-            await self._drain_entry()
-            for task in callers:
-                await task.join()
+        async with curio.TaskGroup(wait=None) as servers:
+            await self._start_backends(servers)
+            await self._start_store(servers)
+            # The entry instances end before the servers that they use.
+            async with curio.TaskGroup(wait=None) as entries:
+                await self._start_entries(entries)
+                await self._send_and_drain()
         self._check_backends()
         self._print_table()
         return not self.findings
 
+    async def _send_and_drain(self) -> None:
+        """Send requests, and drain a backend server and an instance."""
+        await self._wait_until_ready()
+        self.end_s = time.monotonic() + self.seconds
+        callers = await self._start_callers()
+        await self._drain_backend()
+        await self._drain_entry()
+        for task in callers:
+            await task.join()
+
     async def _start_backends(self, group: curio.TaskGroup) -> None:
         bodies = []
         for title, section in self.document.sections.items():
