--- a/carawayvale/steering/tests/test_decisions.py
+++ b/carawayvale/steering/tests/test_decisions.py
@@ -173,6 +173,34 @@
         assert not budget.spend(11.0, 20)
 
 
+def send(limit, wants_remote, now_s):
+    """Send a request within a limit; returns whether it is remote."""
+    remote = wants_remote
+    if wants_remote and not limit.allows_remote(now_s):
+        remote = False
+    elif not wants_remote and limit.requires_remote(now_s):
+        remote = True
+    limit.record(remote, now_s)
+    return remote
+
+
+def list_shares(sent):
+    """List the shares of remote requests by half seconds, up to 20 s."""
+    shares = []
+    for start in range(0, 36):
+        start_s = start / 2
+        window = [
+            r for t, r in sent if start_s <= t < start_s + SHIFT_WINDOW_S
+        ]
+        shares.append(Fraction(sum(window), len(window)))
+    return shares
+
+
+def list_steps(shares):
+    """List the changes of the share from one window to the next."""
+    return [abs(b - a) for a, b in zip(shares, shares[4:], strict=False)]
+
+
 class TestShiftLimit:
     """Load in one region that rises and falls suddenly."""
 
@@ -188,12 +216,7 @@
         for step in range(2000):
             now_s = step / 100
             remote = rng.random() < find_remote_share(now_s)
-            if remote and not limit.allows_remote(now_s):
-                remote = False
-            elif not remote and limit.requires_remote(now_s):
-                remote = True
-            limit.record(remote, now_s)
-            sent.append((now_s, remote))
+            sent.append((now_s, send(limit, remote, now_s)))
         return sent
 
     def test_the_first_window_is_not_limited(self):
@@ -217,15 +240,8 @@
 
     def test_the_share_of_remote_requests_changes_in_steps(self):
         sent = self.simulate(lambda now_s: 0.5 if 4 <= now_s < 12 else 0.0)
-        shares = []
-        for start in range(0, 180, 5):
-            start_s = start / 10
-            window = [
-                r for t, r in sent if start_s <= t < start_s + SHIFT_WINDOW_S
-            ]
-            shares.append(Fraction(sum(window), len(window)))
-        steps = [abs(b - a) for a, b in zip(shares, shares[4:], strict=False)]
-        assert max(steps) <= MAX_SHIFT
+        shares = list_shares(sent)
+        assert max(list_steps(shares)) <= MAX_SHIFT
         assert max(shares) > 0.3
 
 
@@ -247,25 +263,9 @@
             now_s += rng.expovariate(self.INSTANCES * self.REQUESTS_PER_S)
             limit = rng.choice(limits)
             remote = rng.random() < find_remote_share(now_s)
-            if remote and not limit.allows_remote(now_s):
-                remote = False
-            elif not remote and limit.requires_remote(now_s):
-                remote = True
-            limit.record(remote, now_s)
-            sent.append((now_s, remote))
+            sent.append((now_s, send(limit, remote, now_s)))
         return sent
 
-    def list_shares(self, sent):
-        """List the shares of remote requests by half seconds."""
-        shares = []
-        for start in range(0, 36):
-            start_s = start / 2
-            window = [
-                r for t, r in sent if start_s <= t < start_s + SHIFT_WINDOW_S
-            ]
-            shares.append(Fraction(sum(window), len(window)))
-        return shares
-
     @pytest.mark.parametrize(
         "find_remote_share",
         (
@@ -276,13 +276,12 @@
         ),
     )
     def test_the_share_of_the_region_changes_in_steps(self, find_remote_share):
-        shares = self.list_shares(self.simulate(find_remote_share))
-        steps = [abs(b - a) for a, b in zip(shares, shares[4:], strict=False)]
-        assert max(steps) <= MAX_SHIFT
+        shares = list_shares(self.simulate(find_remote_share))
+        assert max(list_steps(shares)) <= MAX_SHIFT
 
     def test_the_share_of_the_region_can_rise(self):
         sent = self.simulate(lambda now_s: 0.0 if now_s < 6 else 0.8)
-        assert self.list_shares(sent)[-1] > 0.3
+        assert list_shares(sent)[-1] > 0.3
 
 
 class TestEndpointHealth:
