Names that a reader would stumble over

An endpoint is_leaving (it was "not expected"), the crashes that one request may meet have a name of their own, and the tests' request that crashes is called so. Names only; the tests of the gateway that use them pass.

--- a/carawayvale/gateway/endpoint_checks.py
+++ b/carawayvale/gateway/endpoint_checks.py
@@ -52,7 +52,7 @@
     :param owned: the endpoint.
     :returns: whether it ended unexpectedly.
     """
-    if not owned.is_expected:
+    if owned.is_leaving:
         return False
     try:
         client = await owned.upstream.pool.open(CRASH_CHECK_TIMEOUT_S)
--- a/carawayvale/gateway/owned_endpoint.py
+++ b/carawayvale/gateway/owned_endpoint.py
@@ -165,15 +165,15 @@
         return self.is_available and not self.find_pause(read_boot_clock())
 
     @property
-    def is_expected(self) -> bool:
-        """Whether the endpoint is expected to go on serving."""
-        leaving = self.context.notices.departures.includes(self.endpoint)
-        return not (self.endpoint.is_draining or leaving)
+    def is_leaving(self) -> bool:
+        """Whether the endpoint or its entry says that it is leaving."""
+        departures = self.context.notices.departures
+        return self.endpoint.is_draining or departures.includes(self.endpoint)
 
     @property
     def is_available(self) -> bool:
         """Whether the endpoint serves requests, apart from a pause."""
-        if self.blocked or not self.is_expected:
+        if self.blocked or self.is_leaving:
             return False
         if read_boot_clock() < self.moved_until_s:
             return False
--- a/carawayvale/gateway/request_attempts.py
+++ b/carawayvale/gateway/request_attempts.py
@@ -27,8 +27,10 @@
 # while the ones before are unreachable.
 MAX_OWNERS = 2
 
-# Maximum number of endpoints that crash during the attempts of one request.
-MAX_CRASHES = 2
+# Maximum number of endpoints that crash during the attempts of one request
+# before it gets no further attempt. The quarantine of the same request in
+# later attempts of its caller has a limit of its own.
+MAX_CRASHES_PER_REQUEST = 2
 
 # Outcomes for which nothing was sent and the endpoint may be gone.
 UNAVAILABLE_OUTCOMES = frozenset(
@@ -275,7 +277,7 @@
             return StopReason.DEADLINE
         if result.outcome is UpstreamOutcome.CRASHED:
             context.crashes += 1
-        if context.crashes >= MAX_CRASHES:
+        if context.crashes >= MAX_CRASHES_PER_REQUEST:
             return StopReason.CRASHES
         if len(context.attempted) >= context.route.max_attempts:
             return StopReason.ATTEMPT_LIMIT
--- a/carawayvale/gateway/tests/crashing.py
+++ b/carawayvale/gateway/tests/crashing.py
@@ -9,7 +9,7 @@
 from carawayvale.links.listener import open_listener
 from carawayvale.platform.tests.fakes import LOOPBACK
 
-DEADLY_PATH = "/deadly"
+CRASHING_PATH = "/crashing"
 
 # Time after which an endpoint is back, at its address.
 RETURN_S = 1.0
@@ -48,7 +48,7 @@
 
     async def handle(self, request):
         """Return the response to one request, or crash."""
-        if not request.path.endswith(DEADLY_PATH):
+        if not request.path.endswith(CRASHING_PATH):
             return await self.endpoint.handle(request)
         self.crashes_s.append(read_boot_clock())
         await curio.spawn(self.crash, daemon=True)
@@ -76,12 +76,12 @@
     return crashes_s
 
 
-async def call_deadly(fleet, duration_s, **options):
+async def call_repeatedly(fleet, duration_s, **options):
     """Send the request that crashes to all instances in turn.
 
     :param fleet: the fleet.
     :param duration_s: how long it is sent again, in seconds.
-    :param options: options of the call; ``path`` ends with the deadly path.
+    :param options: options of the call; ``path`` ends with CRASHING_PATH.
     :returns: the responses.
     """
     end_s = read_boot_clock() + duration_s
@@ -89,7 +89,7 @@
     while read_boot_clock() < end_s:
         daemon = fleet.daemons[len(responses) % len(fleet.daemons)]
         responses.append(
-            await fleet.call(daemon, **{"path": DEADLY_PATH, **options})
+            await fleet.call(daemon, **{"path": CRASHING_PATH, **options})
         )
         await curio.sleep(CALL_INTERVAL_S)
     return responses
--- a/carawayvale/gateway/tests/test_crashing_requests.py
+++ b/carawayvale/gateway/tests/test_crashing_requests.py
@@ -8,8 +8,8 @@
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.endpoint_checks import has_crashed
 from carawayvale.gateway.http_messages import Request
-from carawayvale.gateway.tests.crashing import call_deadly
-from carawayvale.gateway.tests.crashing import DEADLY_PATH
+from carawayvale.gateway.tests.crashing import call_repeatedly
+from carawayvale.gateway.tests.crashing import CRASHING_PATH
 from carawayvale.gateway.tests.crashing import start_crashing
 from carawayvale.gateway.tests.test_endpoint_checks import make_request
 from carawayvale.gateway.tests.test_fleet import run_scenario
@@ -57,7 +57,7 @@
     def test_request_does_not_end_endpoint_after_endpoint(self):
         async def scenario(fleet):
             crashes_s = await start_crashing(fleet)
-            await call_deadly(fleet, CALL_TIME_S)
+            await call_repeatedly(fleet, CALL_TIME_S)
             assert crashes_s
             assert count_later(crashes_s) <= MAX_LATER
 
@@ -66,12 +66,12 @@
     def test_request_that_may_run_once_does_not_either(self):
         async def scenario(fleet):
             crashes_s = await start_crashing(fleet)
-            responses = await call_deadly(
+            responses = await call_repeatedly(
                 fleet,
                 CALL_TIME_S,
                 method="POST",
                 host=b"jepu9.example",
-                path="/puka" + DEADLY_PATH,
+                path="/puka" + CRASHING_PATH,
             )
             assert len(crashes_s) == KNOWN_CRASHES
             failed, refused = responses[:-50], responses[-50:]
@@ -83,10 +83,10 @@
     def test_known_request_is_refused_at_once_by_all_instances(self):
         async def scenario(fleet):
             await start_crashing(fleet)
-            await call_deadly(fleet, CALL_TIME_S / 2)
+            await call_repeatedly(fleet, CALL_TIME_S / 2)
             for daemon in fleet.daemons:
                 started_s = read_boot_clock()
-                response = await fleet.call(daemon, path=DEADLY_PATH)
+                response = await fleet.call(daemon, path=CRASHING_PATH)
                 assert read_boot_clock() - started_s < MAX_REFUSAL_S
                 assert response.head.status == 503
                 assert float(response.head.find(b"retry-after")) > 60
@@ -101,13 +101,13 @@
     def test_new_instance_learns_which_requests_are_refused(self):
         async def scenario(fleet):
             crashes_s = await start_crashing(fleet)
-            await call_deadly(fleet, CALL_TIME_S / 2)
+            await call_repeatedly(fleet, CALL_TIME_S / 2)
             crashes = len(crashes_s)
             daemon = await fleet.add_instance("e9")
             await fleet.wait_ready()
             quarantine = daemon.node.crash_reports.quarantine
             await fleet.wait_until(lambda: quarantine.suspects)
-            response = await fleet.call(daemon, path=DEADLY_PATH)
+            response = await fleet.call(daemon, path=CRASHING_PATH)
             assert response.head.status == 503
             assert len(crashes_s) == crashes
 
@@ -117,7 +117,7 @@
         async def scenario(fleet):
             await start_crashing(fleet)
             async with curio.TaskGroup() as group:
-                await group.spawn(call_deadly, fleet, CALL_TIME_S)
+                await group.spawn(call_repeatedly, fleet, CALL_TIME_S)
                 others = await group.spawn(call_others, fleet, CALL_TIME_S)
             served = [r.head.status == 200 for r in others.result]
             assert sum(served) >= 0.9 * len(served)
@@ -169,7 +169,7 @@
             async with curio.TaskGroup() as group:
                 await group.spawn(fleet.call(daemon, path="/innocent"))
                 await curio.sleep(0.1)
-                await group.spawn(fleet.call(daemon, path=DEADLY_PATH))
+                await group.spawn(fleet.call(daemon, path=CRASHING_PATH))
             response = await fleet.call(daemon, path="/innocent")
             assert response.head.status == 200
             request = Request(
