review: a late copy of a refusal makes a booking run twice

The answer to another request is taken for a refusal of this one in gateway/upstream.py, before its id is compared.

Also the stand-ins that the scripts of the review share.

--- /dev/null
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and a small harness for the scripts of the review."""
