--- a/review/1/play.py
+++ b/review/1/play.py
@@ -50,7 +50,8 @@
         copy = self.late_copies.pop(sock, None)
         if copy is not None:
             self.record.write(
-                "late_copy", endpoint=self.name, before=request.request_id)
+                "late_copy", endpoint=self.name, before=request.request_id
+            )
             sock.sendall(copy)
         return super().answer(sock, request)
 
@@ -60,8 +61,14 @@
             return self.refuse(sock, request)
         sent = super().run(sock, request)
         if sent:
-            self._repeat(sock, encode_response(
-                200, self.list_headers(request, True), self.make_body(request)))
+            self._repeat(
+                sock,
+                encode_response(
+                    200,
+                    self.list_headers(request, True),
+                    self.make_body(request),
+                ),
+            )
         return sent
 
     def refuse(self, sock, request):
@@ -89,7 +96,11 @@
 
     def __init__(self, deployment, number, until_s):
         super().__init__(daemon=True)
-        self.deployment, self.number, self.until_s = deployment, number, until_s
+        self.deployment, self.number, self.until_s = (
+            deployment,
+            number,
+            until_s,
+        )
         self.answers = {}
 
     def run(self):
@@ -104,8 +115,11 @@
             record = self.deployment.record
             record.write("sent", id=request_id)
             connection.send(
-                "POST", "/book/visit", make_headers(request_id, DEADLINE_MS),
-                b"visit " + request_id.encode())
+                "POST",
+                "/book/visit",
+                make_headers(request_id, DEADLINE_MS),
+                b"visit " + request_id.encode(),
+            )
             answer = connection.read()
             status = answer.status if answer else None
             record.write("answered", id=request_id, status=status)
@@ -121,7 +135,9 @@
     twice = sorted({i for i in runs if runs.count(i) > 1})
     ran = set(runs)
     refused = [
-        i for caller in callers for i, status in caller.answers.items()
+        i
+        for caller in callers
+        for i, status in caller.answers.items()
         if status in (408, 421, 429, 503) and i in ran
     ]
     for request_id in twice:
@@ -129,8 +145,10 @@
     for request_id in refused:
         record.write("REFUSED_BUT_RAN", id=request_id)
     sent = sum(len(caller.answers) for caller in callers)
-    summary = f"{sent} requests, {len(twice)} ran twice, " \
+    summary = (
+        f"{sent} requests, {len(twice)} ran twice, "
         f"{len(refused)} were refused and ran"
+    )
     record.write("summary", text=summary)
     print(summary)
     return 1 if twice or refused else 0
@@ -142,14 +160,24 @@
     try:
         endpoints = [
             RepeatingEndpoint(
-                f"{deployment.network}.1", f"i-{number:04x}", SERVICE, "ekm-a",
-                record, work_s=WORK_S, slots=3,
-                repeats=has_trouble() and number % 2 == 0)
+                f"{deployment.network}.1",
+                f"i-{number:04x}",
+                SERVICE,
+                "ekm-a",
+                record,
+                work_s=WORK_S,
+                slots=3,
+                repeats=has_trouble() and number % 2 == 0,
+            )
             for number in range(ENDPOINTS)
         ]
         route = {
-            "name": "book", "prefix": "/book/", "kind": "unsafe",
-            "service": SERVICE, "timeout": "4s", "target_latency": "600ms",
+            "name": "book",
+            "prefix": "/book/",
+            "kind": "unsafe",
+            "service": SERVICE,
+            "timeout": "4s",
+            "target_latency": "600ms",
         }
         configuration = make_configuration([route], [SERVICE])
         deployment.store.put("op/config", configuration)
--- a/review/2/play.py
+++ b/review/2/play.py
@@ -2,7 +2,6 @@
 
 import select
 import socket
-import struct
 import sys
 import threading
 import time
@@ -13,6 +12,7 @@
 from common.deployment import make_headers
 from common.endpoint import Endpoint
 from common.http import ClientConnection
+from common.http import reset
 from common.record import has_trouble
 from common.record import Record
 
@@ -45,23 +45,28 @@
 
     def __init__(self, *args, **kwargs):
         self.dark = threading.Event()
-        self.open_sockets = set()
         self.fillers = []
         super().__init__(*args, backlog=BACKLOG, **kwargs)
 
+    def answer(self, sock, request):
+        """Answer a request, unless the endpoint is dark."""
+        if self.dark.is_set():
+            return self._stay_silent(sock, request, None, 0)
+        return super().answer(sock, request)
+
     def run(self, sock, request):
         """Send an answer piece by piece."""
         self.begin(request)
-        self.open_sockets.add(sock)
-        try:
-            return self._send_pieces(sock, request)
-        finally:
-            self.open_sockets.discard(sock)
+        return self._send_pieces(sock, request)
 
     def _send_pieces(self, sock, request):
         body = make_body(request.request_id)
         framed = len(self.runs) % UNFRAMED_EVERY > 0
-        framing = ("Content-Length", len(body)) if framed else ("Connection", "close")
+        framing = (
+            ("Content-Length", len(body))
+            if framed
+            else ("Connection", "close")
+        )
         headers = [*self.list_headers(request, True), framing]
         lines = ["HTTP/1.1 200 OK", *(f"{n}: {v}" for n, v in headers), "", ""]
         sock.sendall("\r\n".join(lines).encode())
@@ -69,24 +74,28 @@
             readable, _, _ = select.select([sock], [], [], PIECE_S)
             if readable:
                 self.record.write(
-                    "dropped", endpoint=self.name, id=request.request_id)
+                    "dropped", endpoint=self.name, id=request.request_id
+                )
                 return False
             if self.dark.is_set():
                 return self._stay_silent(sock, request, framed, start)
-            sock.sendall(body[start:start + PIECE_BYTES])
+            sock.sendall(body[start : start + PIECE_BYTES])
         self.record.write("ran", endpoint=self.name, id=request.request_id)
         return framed
 
     def _stay_silent(self, sock, request, framed, sent):
         """Send nothing until the endpoint is back; then reset."""
         self.record.write(
-            "silent", endpoint=self.name, id=request.request_id,
-            framed=framed, sent=sent)
+            "silent",
+            endpoint=self.name,
+            id=request.request_id,
+            framed=framed,
+            sent=sent,
+        )
         while self.dark.is_set():
             time.sleep(0.05)
         # A connection of the process that has ended is reset.
-        sock.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        reset(sock)
         return False
 
     def fall_dark(self):
@@ -136,7 +145,11 @@
 
     def __init__(self, deployment, number, stopped):
         super().__init__(daemon=True)
-        self.deployment, self.number, self.stopped = deployment, number, stopped
+        self.deployment, self.number, self.stopped = (
+            deployment,
+            number,
+            stopped,
+        )
         self.answers = {}
 
     def run(self):
@@ -154,9 +167,11 @@
             answer = connection.read()
             self.answers[request_id] = answer
             self.deployment.record.write(
-                "answered", id=request_id,
+                "answered",
+                id=request_id,
                 status=answer.status if answer else None,
-                bytes=len(answer.body) if answer else None)
+                bytes=len(answer.body) if answer else None,
+            )
             if answer is None or answer.headers.get("connection") == "close":
                 connection.close()
                 connection = None
@@ -177,8 +192,10 @@
     for request_id in mixed:
         record.write("INCOMPLETE_BODY", id=request_id)
     served = sum(a is not None and a.status == 200 for _, a in answers)
-    summary = f"{len(answers)} requests, {served} successes, " \
+    summary = (
+        f"{len(answers)} requests, {served} successes, "
         f"{len(mixed)} of them with a part of the body"
+    )
     record.write("summary", text=summary)
     print(summary)
     return 1 if mixed else 0
@@ -202,13 +219,21 @@
     try:
         endpoints = [
             StreamingEndpoint(
-                f"{deployment.network}.1", f"i-{number:04x}", SERVICE, "ekm-a",
-                record)
+                f"{deployment.network}.1",
+                f"i-{number:04x}",
+                SERVICE,
+                "ekm-a",
+                record,
+            )
             for number in range(ENDPOINTS)
         ]
         route = {
-            "name": "ward", "prefix": "/ward/", "kind": "safe",
-            "service": SERVICE, "timeout": "8s", "target_latency": "1s",
+            "name": "ward",
+            "prefix": "/ward/",
+            "kind": "safe",
+            "service": SERVICE,
+            "timeout": "8s",
+            "target_latency": "1s",
         }
         configuration = make_configuration([route], [SERVICE])
         deployment.store.put("op/config", configuration)
--- a/review/3/play.py
+++ b/review/3/play.py
@@ -77,7 +77,11 @@
 
     def __init__(self, deployment, number, stopped):
         super().__init__(daemon=True)
-        self.deployment, self.number, self.stopped = deployment, number, stopped
+        self.deployment, self.number, self.stopped = (
+            deployment,
+            number,
+            stopped,
+        )
         self.held = []
 
     def run(self):
@@ -97,7 +101,8 @@
         address = self.deployment.find_address(self.number % 2)
         try:
             connection = connection or ClientConnection(
-                address, DEADLINE_MS / 1000)
+                address, DEADLINE_MS / 1000
+            )
             headers = make_headers(request_id, DEADLINE_MS)
             connection.send("POST", "/book/visit", headers, b"visit")
         except OSError:
@@ -109,7 +114,8 @@
         held_s = time.monotonic() - sent_s
         status = answer.status if answer else "none"
         record.write(
-            "answered", id=request_id, status=status, after=f"{held_s:.2f}")
+            "answered", id=request_id, status=status, after=f"{held_s:.2f}"
+        )
         self.held.append((request_id, answer is not None, held_s))
         if answer is None or answer.headers.get("connection") == "close":
             connection.close()
@@ -134,7 +140,8 @@
                 status = get_status(address, "/ready")
                 self.silent += status is None
                 self.deployment.record.write(
-                    "ready", gateway=index, status=status)
+                    "ready", gateway=index, status=status
+                )
 
 
 def judge(record, callers, prober):
@@ -142,14 +149,17 @@
     requests = [entry for caller in callers for entry in caller.held]
     overdue = [entry for entry in requests if entry[2] > TIMEOUT_S]
     late = [
-        request_id for request_id, answered, held_s in overdue
+        request_id
+        for request_id, answered, held_s in overdue
         if held_s > TIMEOUT_S + ANSWER_SLACK_S
     ]
     for request_id in late:
         record.write("NO_ANSWER", id=request_id)
-    summary = f"{len(requests)} requests, {len(overdue)} unanswered at the " \
-        f"timeout, {len(late)} of them {ANSWER_SLACK_S:g} s later; " \
+    summary = (
+        f"{len(requests)} requests, {len(overdue)} unanswered at the "
+        f"timeout, {len(late)} of them {ANSWER_SLACK_S:g} s later; "
         f"{prober.silent} questions for /ready without an answer"
+    )
     record.write("summary", text=summary)
     print(summary)
     too_many = len(late) > UNANSWERED_ALLOWED
@@ -163,13 +173,21 @@
     try:
         endpoints = [
             FaultyEndpoint(
-                f"{deployment.network}.1", f"i-{number:04x}", SERVICE, "ekm-a",
-                record, work_s=WORK_S)
+                f"{deployment.network}.1",
+                f"i-{number:04x}",
+                SERVICE,
+                "ekm-a",
+                record,
+                work_s=WORK_S,
+            )
             for number in range(ENDPOINTS)
         ]
         route = {
-            "name": "book", "prefix": "/book/", "kind": "unsafe",
-            "service": SERVICE, "timeout": f"{TIMEOUT_S}s",
+            "name": "book",
+            "prefix": "/book/",
+            "kind": "unsafe",
+            "service": SERVICE,
+            "timeout": f"{TIMEOUT_S}s",
             "target_latency": "1s",
         }
         configuration = make_configuration([route], [SERVICE])
--- a/review/4/play.py
+++ b/review/4/play.py
@@ -82,10 +82,6 @@
 class QuickEndpoint(Endpoint):
     """Endpoint that answers look-ups at once, and works on bookings."""
 
-    def work(self, sock):
-        """Work as long as a booking takes; see :class:`Endpoint`."""
-        return super().work(sock)
-
     def run(self, sock, request):
         """Run a request; look-ups take no time."""
         self.work_s = WORK_S if request.first[0] == "POST" else 0.0
@@ -124,7 +120,8 @@
             record.write("LOST", id=caller.request_id, cause=repr(cause))
     sent = sum(caller.sent_s is not None for caller in callers)
     served = sum(
-        c.answer is not None and c.answer.status == 200 for c in callers)
+        c.answer is not None and c.answer.status == 200 for c in callers
+    )
     summary = f"{sent} requests sent, {served} served, {lost} lost"
     record.write("summary", text=summary)
     print(summary)
@@ -137,12 +134,18 @@
     try:
         endpoints = [
             QuickEndpoint(
-                f"{deployment.network}.1", f"i-{number:04x}", SERVICE, "ekm-a",
-                record, slots=SLOTS)
+                f"{deployment.network}.1",
+                f"i-{number:04x}",
+                SERVICE,
+                "ekm-a",
+                record,
+                slots=SLOTS,
+            )
             for number in range(ENDPOINTS)
         ]
         common = {
-            "service": SERVICE, "timeout": f"{TIMEOUT_S}s",
+            "service": SERVICE,
+            "timeout": f"{TIMEOUT_S}s",
             "target_latency": "4s",
         }
         routes = [
@@ -165,7 +168,8 @@
             deployment.signal(0, signal.SIGTERM)
         for caller in callers:
             caller.go_s = (
-                signal_s + FIRST_SEND_S + SEND_INTERVAL_S * caller.number)
+                signal_s + FIRST_SEND_S + SEND_INTERVAL_S * caller.number
+            )
             caller.begun.set()
         for caller in callers:
             caller.join(20.0)
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -46,7 +46,9 @@
         self.record = record
         self.folder = tempfile.TemporaryDirectory()
         # The whole of 127.0.0.0/8 is loopback; each gateway has an address.
-        self.network = f"127.{random.randint(64, 250)}.{random.randint(1, 250)}"
+        self.network = (
+            f"127.{random.randint(64, 250)}.{random.randint(1, 250)}"
+        )
         self.store = Store(f"{self.network}.1")
         self.zones = list(zones)
         self.ports = self._find_ports(8)
@@ -82,24 +84,42 @@
             for i in range(min(3, len(self.zones)))
         ]
         settings = {
-            "node": f"front-{zone}-{index}", "role": "gateway",
-            "class": "front", "serves": ["front", "directory", "control"],
-            "ip": host, "zone": zone, "region": ZONES[zone], "zones": ZONES,
+            "node": f"front-{zone}-{index}",
+            "role": "gateway",
+            "class": "front",
+            "serves": ["front", "directory", "control"],
+            "ip": host,
+            "zone": zone,
+            "region": ZONES[zone],
+            "zones": ZONES,
             "listen": listen,
             "internal_ports": [self.ports[5], self.ports[7]],
-            "seeds": seeds, "bootstrap": True, "loss_counts": False,
+            "seeds": seeds,
+            "bootstrap": True,
+            "loss_counts": False,
             "limits": {
-                "cpu_share": 0.602, "cores": 1, "memory_mb": 222,
-                "max_fds": 2870, "link_mbps": 700.0, "disk_mb": 0,
+                "cpu_share": 0.602,
+                "cores": 1,
+                "memory_mb": 222,
+                "max_fds": 2870,
+                "link_mbps": 700.0,
+                "disk_mb": 0,
             },
-            "data_dir": None, "discovery": "platform", "entry": "directory",
-            "heartbeat": "1500ms", "contracts": ["base"],
+            "data_dir": None,
+            "discovery": "platform",
+            "entry": "directory",
+            "heartbeat": "1500ms",
+            "contracts": ["base"],
             "tolerate": {"machines": 1, "zones": 1, "regions": 1},
             "bounds": BOUNDS,
             "platform": {
-                "address": self.store.address, "form": "kv",
-                "writes_per_s": 400, "reads_per_s": 2000, "history": "20s",
-                "value_bytes": 1048576, "ttl_min": "1000ms",
+                "address": self.store.address,
+                "form": "kv",
+                "writes_per_s": 400,
+                "reads_per_s": 2000,
+                "history": "20s",
+                "value_bytes": 1048576,
+                "ttl_min": "1000ms",
             },
         }
         path = Path(self.folder.name) / f"settings-{index}.json"
@@ -111,16 +131,22 @@
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         role = deploy["roles"]["gateway"]
         environment = {
-            "PATH": os.environ["PATH"], "HOME": self.folder.name,
-            "PYTHONPATH": str(ROOT / "target/deps"), **role["env"],
+            "PATH": os.environ["PATH"],
+            "HOME": self.folder.name,
+            "PYTHONPATH": str(ROOT / "target/deps"),
+            **role["env"],
             "CARAWAYVALE_NODE_FILE": str(self.write_settings(index)),
             "CARAWAYVALE_METRICS_PORT": str(self.ports[4]),
             "PYTHONDONTWRITEBYTECODE": "1",
         }
         log = open(Path(self.folder.name) / f"gateway-{index}.log", "ab")
         self.processes[index] = subprocess.Popen(
-            role["run"].split(), cwd=ROOT, env=environment, stdout=log,
-            stderr=log)
+            role["run"].split(),
+            cwd=ROOT,
+            env=environment,
+            stdout=log,
+            stderr=log,
+        )
         self.record.write("gateway_started", gateway=index)
 
     def start_all(self):
@@ -176,24 +202,38 @@
     :param version: its version.
     """
     defaults = {
-        "host": HOST, "timeout": "10s", "target_latency": "2s",
-        "priority": 0, "max_attempts": 2, "session_affinity": False,
-        "allowed_regions": [], "traffic_split": None,
+        "host": HOST,
+        "timeout": "10s",
+        "target_latency": "2s",
+        "priority": 0,
+        "max_attempts": 2,
+        "session_affinity": False,
+        "allowed_regions": [],
+        "traffic_split": None,
     }
     columns = ["name", "prefix", "kind", "service", *defaults]
     rows = [[{**defaults, **route}[c] for c in columns] for route in routes]
     service_columns = [
-        "name", "health_path", "max_conns", "protocol", "tls", "cold",
-        "cold_per_s"]
+        "name",
+        "health_path",
+        "max_conns",
+        "protocol",
+        "tls",
+        "cold",
+        "cold_per_s",
+    ]
     service_rows = [
-        [name, "/health", 720, "h1", False, "3s", 20.0] for name in services]
+        [name, "/health", 720, "h1", False, "3s", 20.0] for name in services
+    ]
     return {
         "version": version,
         "routes": {"columns": columns, "rows": rows},
         "services": {"columns": service_columns, "rows": service_rows},
         "limits": {
-            "max_header_bytes": 16384, "max_body_bytes": 67108864,
-            "header_timeout": "3000ms", "idle_timeout": "15000ms",
+            "max_header_bytes": 16384,
+            "max_body_bytes": 67108864,
+            "header_timeout": "3000ms",
+            "idle_timeout": "15000ms",
         },
     }
 
@@ -201,7 +241,8 @@
 def make_headers(request_id, deadline_ms, key=None):
     """Make the headers of a client's request."""
     headers = {
-        "Host": HOST, "X-Request-Id": request_id,
+        "Host": HOST,
+        "X-Request-Id": request_id,
         "X-Deadline-Ms": str(deadline_ms),
     }
     if key is not None:
--- a/review/common/endpoint.py
+++ b/review/common/endpoint.py
@@ -50,14 +50,21 @@
     def _write_entry(self, store):
         self.sequence += 1
         info = {
-            "service": self.service, "version": "v1", "zone": self.zone,
+            "service": self.service,
+            "version": "v1",
+            "zone": self.zone,
             "slots": self.slots,
         }
         status = {"state": "ready", "seq": self.sequence, "cold_left": "0ms"}
-        store.put(f"servers/{self.name}", {
-            "address": self.address, "born": self.born, "info": info,
-            "status": status,
-        })
+        store.put(
+            f"servers/{self.name}",
+            {
+                "address": self.address,
+                "born": self.born,
+                "info": info,
+                "status": status,
+            },
+        )
 
     def answer(self, sock, request):
         """Answer a health check or a request."""
@@ -69,7 +76,8 @@
         if expected != self.name:
             headers = [
                 ("X-Instance-Id", self.name),
-                ("X-Request-Id", request.request_id)]
+                ("X-Request-Id", request.request_id),
+            ]
             sock.sendall(encode_response(421, headers))
             return True
         with self.lock:
@@ -93,10 +101,14 @@
         """Run a request and answer it."""
         self.begin(request)
         if not self.work(sock):
-            self.record.write("dropped", endpoint=self.name, id=request.request_id)
+            self.record.write(
+                "dropped", endpoint=self.name, id=request.request_id
+            )
             return False
         body = self.make_body(request)
-        sock.sendall(encode_response(200, self.list_headers(request, True), body))
+        sock.sendall(
+            encode_response(200, self.list_headers(request, True), body)
+        )
         self.record.write("ran", endpoint=self.name, id=request.request_id)
         return True
 
--- a/review/common/http.py
+++ b/review/common/http.py
@@ -63,7 +63,9 @@
         head, _, self.buffer = self.buffer.partition(b"\r\n\r\n")
         lines = head.decode("latin-1").split("\r\n")
         pairs = (line.partition(":") for line in lines[1:])
-        headers = {name.strip().lower(): text.strip() for name, _, text in pairs}
+        headers = {
+            name.strip().lower(): text.strip() for name, _, text in pairs
+        }
         length = int(headers.get("content-length", 0))
         body = self._read_body(length)
         complete = len(body) == length
@@ -121,7 +123,9 @@
 
     def _start_accepting(self):
         arguments = (self.listener,)
-        threading.Thread(target=self._accept, args=arguments, daemon=True).start()
+        threading.Thread(
+            target=self._accept, args=arguments, daemon=True
+        ).start()
 
     def _accept(self, listener):
         while True:
@@ -130,7 +134,9 @@
                 sock, _ = listener.accept()
             except OSError:
                 return
-            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+            threading.Thread(
+                target=self._serve, args=(sock,), daemon=True
+            ).start()
 
     def _serve(self, sock):
         self.sockets.add(sock)
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -105,11 +105,15 @@
         prefix, after = query.get("prefix", ""), query.get("after", "")
         with self.changed:
             keys = sorted(
-                k for k in self.items if k.startswith(prefix) and k > after)
+                k for k in self.items if k.startswith(prefix) and k > after
+            )
             page = [self.items[key] for key in keys[:PAGE_ITEMS]]
             more = len(keys) > PAGE_ITEMS
             return 200, {
-                "items": page, "has_more": more, "store_revision": self.revision}
+                "items": page,
+                "has_more": more,
+                "store_revision": self.revision,
+            }
 
     def _call_kv_watch(self, query, argument, body):
         prefix, after = query.get("prefix", ""), int(query["after"])
@@ -120,12 +124,16 @@
                 if after > self.revision or after < oldest - 1:
                     return 410, {}
                 events = [
-                    row for _, row in self.history
-                    if row["rev"] > after and row["key"].startswith(prefix)]
+                    row
+                    for _, row in self.history
+                    if row["rev"] > after and row["key"].startswith(prefix)
+                ]
                 wait_s = until_s - time.monotonic()
                 if events or wait_s <= 0:
                     return 200, {
-                        "events": events, "store_revision": self.revision}
+                        "events": events,
+                        "store_revision": self.revision,
+                    }
                 self.changed.wait(wait_s)
 
     def _call_kv_lease(self, query, argument, body):
@@ -134,7 +142,9 @@
             self.lease_number += 1
             self.leases[self.lease_number] = (ttl_s, time.monotonic() + ttl_s)
             return 200, {
-                "lease": self.lease_number, "ttl_time": body["ttl_time"]}
+                "lease": self.lease_number,
+                "ttl_time": body["ttl_time"],
+            }
 
     def _call_kv_keep(self, query, argument, body):
         with self.changed:
