A response counts only for the request whose id it echoes, a refusal too

Cause: Upstream._classify_response took X-Not-Executed and status 421 for a refusal of the request at hand before it compared the echoed id, so a late copy of an earlier refusal on a kept connection counted for the next request. Ruled out: a retry after a lost answer (the runs that came twice each follow outcome=not_run), two owners of one endpoint (one owner in the logs).

Change: the id is compared first; another id, or none, is a failure and the connection is closed. On the hop, owners echo the id with each result and the sender compares it; results without one are those of earlier versions. A health check that is answered by another endpoint or request closes the idle connections, which it shares with requests. machines/ compares first already.

The fakes refused without an id, against the protocol; they echo it now.

Tests: test_upstream.py, TestLateCopies, failed before for all three kinds of refusal (outcome NOT_RUN instead of FAILED); test_forwarding.py.

--- a/carawayvale/gateway/endpoint_checks.py
+++ b/carawayvale/gateway/endpoint_checks.py
@@ -104,6 +104,10 @@
         cold_s = parse_cold(head.find(header_names.cold_ms))
         if same_name:
             apply_notice(owned, head)
+        else:
+            # The response may have been a late copy of an earlier one,
+            # and that of the check be still due on the connection.
+            await owned.upstream.pool.close()
     except (ConnectionBroken, curio.TaskTimeout) as error:
         log_event(
             "check_failed",
--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass
+from dataclasses import replace
 
 import curio
 
@@ -187,6 +188,7 @@
     pool: ConnectionPool,
     owner_request: OwnerRequest,
     endpoint: str,
+    id_header: bytes,
     forwards: ForwardTable,
     owner: OwnerProcess,
 ) -> UpstreamResult:
@@ -195,11 +197,12 @@
     :param pool: connections to the owner's internal port.
     :param owner_request: the request and the parameters of the attempt.
     :param endpoint: name of the endpoint.
+    :param id_header: name of the header that holds the request's id.
     :param forwards: the connections that are aborted if their owner fails.
     :param owner: process of the owner.
     :returns: the result; OWNER_LOST if the connection to the owner broke,
-        FAILED if its response is malformed, LATE if it did not respond in
-        time.
+        FAILED if its response is malformed or has the id of another
+        request, LATE if it did not respond in time.
     :raises OwnerUnreachable: if no connection could be opened.
     """
     remaining_s = owner_request.deadline_s - read_boot_clock()
@@ -215,7 +218,9 @@
         forwards.add(owner, client)
     try:
         async with curio.timeout_after(remaining_s + RESPONSE_MARGIN_S):
-            result = await _exchange(client, owner_request, endpoint)
+            result = await _exchange(
+                client, owner_request, endpoint, id_header
+            )
         complete = True
     except curio.TaskTimeout:
         result = UpstreamResult(
@@ -240,7 +245,10 @@
 
 
 async def _exchange(
-    client: HttpClient, owner_request: OwnerRequest, endpoint: str
+    client: HttpClient,
+    owner_request: OwnerRequest,
+    endpoint: str,
+    id_header: bytes,
 ) -> UpstreamResult:
     headers = encode_owner_request(owner_request, endpoint, read_boot_clock())
     request = owner_request.request
@@ -249,6 +257,10 @@
     )
     head = await client.read_head()
     body = await client.read_body(MAX_RESPONSE_BYTES)
+    echoed_id = head.find(id_header)
+    # Instances of earlier versions echo the id only with an answer.
+    if echoed_id is not None and echoed_id != request.find(id_header):
+        raise ValueError("response to another request")
     return decode_result(head.headers, body)
 
 
@@ -273,12 +285,26 @@
             )
         except ValueError as error:
             return Response(400, body=str(error).encode())
+        result = await self._serve(received)
+        return encode_result(self._echo_id(request, result))
+
+    async def _serve(self, received: ReceivedOwnerRequest) -> UpstreamResult:
         if self.node.reachability.is_partitioned:
-            return encode_result(UpstreamResult(UpstreamOutcome.UNUSABLE))
+            return UpstreamResult(UpstreamOutcome.UNUSABLE)
         owned = self.node.find_owned(received.endpoint)
         if owned is None:
-            return encode_result(UpstreamResult(UpstreamOutcome.UNUSABLE))
-        return encode_result(await owned.serve(received.owner_request))
+            return UpstreamResult(UpstreamOutcome.UNUSABLE)
+        return await owned.serve(received.owner_request)
+
+    def _echo_id(
+        self, request: Request, result: UpstreamResult
+    ) -> UpstreamResult:
+        """Add the id of the request, unless the endpoint has echoed it."""
+        name = self.node.header_names.request_id
+        request_id = request.find(name)
+        if request_id is None or find_header(result.headers, name) is not None:
+            return result
+        return replace(result, headers=(*result.headers, (name, request_id)))
 
 
 async def serve_at_owner(
@@ -309,6 +335,7 @@
         node.peer_pools.find(address),
         owner_request,
         endpoint.name,
+        node.header_names.request_id,
         node.forwards,
         process,
     )
--- a/carawayvale/gateway/tests/test_upstream.py
+++ b/carawayvale/gateway/tests/test_upstream.py
@@ -76,3 +76,75 @@
             await task.cancel()
 
         curio.run(run)
+
+
+def make_response(status_line, request_id, *lines):
+    """Make the bytes of a response without a body."""
+    head = [status_line, b"x-request-id: " + request_id, *lines]
+    return b"\r\n".join([*head, b"content-length: 0\r\n\r\n"])
+
+
+REFUSALS = {
+    "full": (b"HTTP/1.1 503 Service Unavailable", b"x-not-executed: 1"),
+    "paused": (b"HTTP/1.1 429 Too Many Requests", b"x-not-executed: 1"),
+    "other instance": (b"HTTP/1.1 421 Misdirected Request", b"x-a: 1"),
+}
+
+
+class RepeatingEndpoint:
+    """Endpoint that refuses its first request, and repeats that late.
+
+    The second copy arrives after the next request on the connection.
+    """
+
+    def __init__(self, refusal):
+        status_line, line = refusal
+        self.refusal = make_response(status_line, b"id-0", line)
+        self.runs = 0
+
+    async def serve(self, sock):
+        await sock.recv(65536)
+        await sock.sendall(self.refusal)
+        while await sock.recv(65536):
+            self.runs += 1
+            await sock.sendall(self.refusal)
+            ran = make_response(
+                b"HTTP/1.1 200 OK", b"id-1", b"x-server-stamp: sig"
+            )
+            await sock.sendall(ran)
+
+
+async def send_twice(serve, header_names=HEADER_NAMES):
+    """Send two requests in turn; return both results and the idle count."""
+    listener = open_raw_port(serve)
+    task = await curio.spawn(listener.run, daemon=True)
+    record = EndpointRecord(
+        "i-1", listener.address, "grids", "zurich", "zrh-a", 5
+    )
+    upstream = Upstream(header_names, record)
+    first = Request(
+        "POST", "/x", ((b"host", b"a"), (b"x-request-id", b"id-0")), b"", 0.0
+    )
+    second = Request("POST", "/x", HEADERS, b"", 0.0)
+    results = [
+        await upstream.send(first, REMAINING_S, False),
+        await upstream.send(second, REMAINING_S, False),
+    ]
+    await task.cancel()
+    return results, len(upstream.pool.idle)
+
+
+class TestLateCopies:
+    # Guards against work that ran being reported as not run (review/1).
+    @pytest.mark.parametrize("kind", REFUSALS)
+    def test_late_copy_of_a_refusal_does_not_refuse_the_next(self, kind):
+        async def run():
+            endpoint = RepeatingEndpoint(REFUSALS[kind])
+            (first, second), idle = await send_twice(endpoint.serve)
+            assert first.outcome is UpstreamOutcome.NOT_RUN
+            assert endpoint.runs == 1
+            assert second.outcome is UpstreamOutcome.FAILED
+            assert second.cause == "answer of another request"
+            assert not idle
+
+        curio.run(run)
--- a/carawayvale/gateway/upstream.py
+++ b/carawayvale/gateway/upstream.py
@@ -232,10 +232,18 @@
     ) -> UpstreamResult:
         """Classify a response by its headers.
 
-        It is usable only if it belongs to the request, has a stamp and
-        has no encoded body.
+        A late copy of an earlier response may arrive on a connection that
+        is used again. No response counts, a refusal neither, unless its id
+        shows that it belongs to the request. It is usable only if it also
+        has a stamp and no encoded body.
         """
         header_names = self.header_names
+        if head.find(header_names.request_id) != request.find(
+            header_names.request_id
+        ):
+            return UpstreamResult(
+                UpstreamOutcome.FAILED, cause="answer of another request"
+            )
         if (
             head.find(header_names.not_run) is not None
             or head.status == HTTP_MISDIRECTED
@@ -246,12 +254,6 @@
                 headers=tuple(head.headers),
                 cause=f"status {head.status}",
             )
-        if head.find(header_names.request_id) != request.find(
-            header_names.request_id
-        ):
-            return UpstreamResult(
-                UpstreamOutcome.FAILED, cause="answer of another request"
-            )
         if head.find(header_names.stamp) is None:
             return UpstreamResult(
                 UpstreamOutcome.FAILED, cause="answer without a stamp"
--- a/carawayvale/platform/tests/fakes.py
+++ b/carawayvale/platform/tests/fakes.py
@@ -38,6 +38,15 @@
     return Listener(open_listener(Address(LOOPBACK, 0)), serve)
 
 
+def echo_id(request: Request) -> tuple[bytes, bytes]:
+    """Make the header that echoes the id of a request.
+
+    :param request: the request.
+    :returns: name and value.
+    """
+    return (b"x-request-id", request.find(b"x-request-id") or b"")
+
+
 @dataclass(frozen=True)
 class StoreCopy:
     """Copy of a store's contents from which it may return.
@@ -238,7 +247,9 @@
         """Return the response to one request."""
         expected = request.find_text(b"x-expect-instance")
         if expected not in ("", self.name):
-            return Response(421, ((b"x-instance-id", b"another"),))
+            return Response(
+                421, (echo_id(request), (b"x-instance-id", b"another"))
+            )
         if request.path == "/health":
             headers = (
                 (b"x-instance-id", self.name.encode()),
@@ -258,12 +269,12 @@
         if self.fail:
             self.fail -= 1
             status = 500
-        request_id = request.find(b"x-request-id") or b""
+        id_field = echo_id(request)
         if self.wrong_ids:
             self.wrong_ids -= 1
-            request_id = b"of-another"
+            id_field = (b"x-request-id", b"of-another")
         headers = (
-            (b"x-request-id", request_id),
+            id_field,
             (b"x-server-stamp", b"sig-" + self.name.encode()),
             *self._list_notices(),
         )
@@ -272,7 +283,11 @@
     def _refuse(self, request):
         """Return the response to a request that does not run."""
         self.refused_s.append(request.arrived_s)
-        headers = [(b"x-not-executed", b"1"), *self._list_notices()]
+        headers = [
+            echo_id(request),
+            (b"x-not-executed", b"1"),
+            *self._list_notices(),
+        ]
         if self.retry_after:
             headers.append((b"retry-after", self.retry_after.encode()))
         return Response(503, tuple(headers))
