An aborted exchange is broken, also if its answer has no length

Cause: HttpClient.abort shuts the socket down to wake the reading task. The end of the stream that it then reads completes a body without a length in h11. Ruled out: an end sent by the endpoint (it is silent in the script), and the timeout of TCP, which raises.

Change: an aborted client raises ConnectionBroken at the end of its stream. This holds for all callers of abort, on the hop too. The same class with TLS: a TCP connection that ends without the end of the TLS stream is an error now.

Tests: TestAbortedExchanges (answer without a length) and TestTruncatedStreams failed before; the case with a length held and holds.

--- a/carawayvale/gateway/tests/test_upstream.py
+++ b/carawayvale/gateway/tests/test_upstream.py
@@ -148,3 +148,44 @@
             assert not idle
 
         curio.run(run)
+
+
+class SilentEndpoint:
+    """Endpoint that falls silent in the middle of its response."""
+
+    def __init__(self, framing):
+        self.framing = framing
+        self.sent = curio.Event()
+
+    async def serve(self, sock):
+        await sock.recv(65536)
+        await sock.sendall(HEAD + self.framing + b"a part of the body")
+        await self.sent.set()
+        await sock.recv(65536)
+
+
+class TestAbortedExchanges:
+    # Guards against a part of a body passing for the whole (review/2).
+    @pytest.mark.parametrize(
+        "framing", [b"\r\n", b"content-length: 99\r\n\r\n"]
+    )
+    def test_aborted_response_is_not_complete(self, framing):
+        async def run():
+            endpoint = SilentEndpoint(framing)
+            listener = open_raw_port(endpoint.serve)
+            task = await curio.spawn(listener.run, daemon=True)
+            record = EndpointRecord(
+                "i-1", listener.address, "grids", "zurich", "zrh-a", 5
+            )
+            upstream = Upstream(HEADER_NAMES, record)
+            sending = await curio.spawn(
+                upstream.send, REQUEST, REMAINING_S, True
+            )
+            await endpoint.sent.wait()
+            upstream.abort(REQUEST)
+            result = await sending.join()
+            assert result.outcome is UpstreamOutcome.FAILED
+            assert not upstream.pool.idle
+            await task.cancel()
+
+        curio.run(run)
--- a/carawayvale/links/http.py
+++ b/carawayvale/links/http.py
@@ -142,7 +142,9 @@
             if ssl is not None:
                 sock = Socket(
                     ssl.wrap_socket(
-                        sock._socket, do_handshake_on_connect=False
+                        sock._socket,
+                        do_handshake_on_connect=False,
+                        suppress_ragged_eofs=False,
                     )
                 )
                 await sock.do_handshake()
--- a/carawayvale/links/http_client.py
+++ b/carawayvale/links/http_client.py
@@ -30,6 +30,7 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
         )
         self.started = False
+        self.aborted = False
 
     async def send_head(
         self, method: str, target: str, headers: Headers, body: bytes = b""
@@ -151,6 +152,9 @@
                 data = await self.sock.recv(READ_BYTES)
             except OSError as error:
                 raise ConnectionBroken(str(error)) from None
+            if self.aborted:
+                # The end of the stream is not that of the response.
+                raise ConnectionBroken("aborted by this side")
             try:
                 self.http.receive_data(data)
             except RuntimeError:
@@ -191,6 +195,7 @@
 
     def abort(self) -> None:
         """Shut the socket down, so the task that uses it sees an error."""
+        self.aborted = True
         try:
             self.sock._socket.shutdown(plain_socket.SHUT_RDWR)
         except OSError as error:
--- a/carawayvale/links/tests/test_tls.py
+++ b/carawayvale/links/tests/test_tls.py
@@ -1,6 +1,7 @@
 """Tests of TLS between instances and with callers."""
 
 from dataclasses import replace
+import socket as plain_socket
 
 import curio
 import pytest
@@ -8,6 +9,11 @@
 
 from carawayvale.contracts import EntrySettings
 from carawayvale.contracts import InvalidInput
+from carawayvale.links.connections import ConnectionPool
+from carawayvale.links.connections import OutgoingCall
+from carawayvale.links.http import ConnectionBroken
+from carawayvale.links.listener import Listener
+from carawayvale.links.listener import open_listener
 from carawayvale.links import load_authority
 from carawayvale.links import load_tls
 from carawayvale.machines import EntryInstance
@@ -65,6 +71,29 @@
             load_tls(make_settings(**wrong))
 
 
+class TestTruncatedStreams:
+    # Guards against a part of a body passing for the whole (review/2).
+    def test_tls_stream_without_its_end_is_not_complete(self, files):
+        async def serve(sock):
+            await sock.recv(65536)
+            await sock.sendall(b"HTTP/1.1 200 OK\r\n\r\na part of the body")
+            # Closes the TCP connection only, as a reset or a cut does.
+            sock._socket.shutdown(plain_socket.SHUT_RDWR)
+
+        async def run():
+            tls = load_tls(make_settings(**files))
+            port = open_listener(LOOPBACK)
+            listener = Listener(port, serve, ssl=tls.server)
+            task = await curio.spawn(listener.run, daemon=True)
+            pool = ConnectionPool(listener.address, tls.client)
+            call = OutgoingCall("GET", "/", [(b"host", b"a")])
+            with pytest.raises(ConnectionBroken):
+                await pool.exchange(call, 5.0, 65536)
+            await task.cancel()
+
+        curio.run(run)
+
+
 class TestTlsDeployment:
     def test_callers_and_peers_use_tls(self, files):
         async def check(harness):
