Work for one message is bounded in parts and time, and other tasks get turns

Cause: a read from a socket that has data does not switch tasks, nor does parsing, so the loops over both kept the event loop to themselves while a peer sent faster than they parsed; timeouts were not delivered. Ruled out: memory and collection of garbage (the process runs the parser all the time).

Change: links/turns.py gives other tasks a turn after 64 reads or parts, in HttpClient, HttpServer, PeerLink and the gateway's server, its lingering close included. Bodies have at most 2^21 parts and are collected in one buffer. A caller's body ends at the deadline that it stated, and a head at header_timeout after its first byte, both with 408; each byte began the timeout anew before.

The replaced constructor in test_bad_input.py sets the new attribute.

--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -94,7 +94,10 @@
         )
         self.registration = Registration(self.store, settings)
         self.reachability_monitor = ReachabilityMonitor(self.node, self.peers)
-        self.caller_server = RequestServer(ProxyHandler(self.node).handle)
+        proxy_handler = ProxyHandler(self.node)
+        self.caller_server = RequestServer(
+            proxy_handler.handle, find_timeout=proxy_handler.find_timeout
+        )
         self.internal_server = RequestServer(OwnerHandler(self.node).handle)
         self.listeners: dict[RequestServer, Listener] = {}
         self.stop_requested = curio.Event()
--- a/carawayvale/gateway/proxy_handler.py
+++ b/carawayvale/gateway/proxy_handler.py
@@ -15,6 +15,8 @@
 from carawayvale.gateway.owner_request import OwnerRequest
 from carawayvale.gateway.request_attempts import RequestAttempts
 from carawayvale.gateway.request_context import RequestContext
+from carawayvale.links.http import find_header
+from carawayvale.links.http import Headers
 from carawayvale.steering.routing import choose_weighted_service
 from carawayvale.steering.warm_up import WarmUpChoices
 
@@ -103,6 +105,17 @@
         )
         return Response(result.status, result.headers, result.body)
 
+    def find_timeout(self, headers: Headers) -> float:
+        """Find how long a caller waits for a response.
+
+        :param headers: headers of its request.
+        :returns: seconds since the head of the request arrived.
+        """
+        value = find_header(headers, self.header_names.deadline_ms) or b""
+        if not value.isdigit():
+            return DEFAULT_TIMEOUT_S
+        return int(value) / MS_PER_S
+
     def _record_outcome(
         self,
         context: RequestContext,
@@ -120,11 +133,7 @@
         self, request: Request, route: RouteRecord
     ) -> OwnerRequest:
         """Make the request for owners, with its objective and deadline."""
-        timeout_s = DEFAULT_TIMEOUT_S
-        value = request.find_text(self.header_names.deadline_ms)
-        if value.isdigit():
-            timeout_s = int(value) / MS_PER_S
-        timeout_s = min(timeout_s, route.timeout_s)
+        timeout_s = min(self.find_timeout(request.headers), route.timeout_s)
         arrived_s = request.arrived_s
         stripped = replace(
             request, headers=strip_internal_headers(request.headers)
--- a/carawayvale/gateway/request_parser.py
+++ b/carawayvale/gateway/request_parser.py
@@ -6,6 +6,8 @@
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.http_messages import Response
+from carawayvale.links.http import MAX_BODY_PARTS
+from carawayvale.links.turns import STEPS_PER_TURN
 
 HTTP_CONTENT_TOO_LARGE = 413
 
@@ -31,10 +33,12 @@
         self.limits = limits
         self.http = self._make_connection()
         self.head: h11.Request | None = None
+        self.incomplete_since_s: float | None = None
         self.arrived_s = 0.0
-        self.body_parts: list[bytes] = []
-        self.body_size = 0
+        self.body = bytearray()
+        self.body_parts = 0
         self.ended = False
+        self.is_interrupted = False
         self.unanswered: Request | None = None
 
     def _make_connection(self) -> h11.Connection:
@@ -65,6 +69,9 @@
     def parse_next(self) -> Request | None:
         """Parse the next request if all of it has arrived.
 
+        After STEPS_PER_TURN parts, parsing is interrupted so that other
+        tasks get a turn; ``is_interrupted`` tells whether it was.
+
         :returns: the request, or None.
         :raises InvalidRequest: if the request is malformed or too large.
         """
@@ -73,29 +80,62 @@
             if not data and not closed:
                 return None
             self._skip_response()
-        while not self.ended:
-            try:
-                event = self.http.next_event()
-            except h11.RemoteProtocolError as error:
-                raise InvalidRequest(error.error_status_hint) from None
-            if event in (h11.NEED_DATA, h11.PAUSED):
-                return None
-            if isinstance(event, h11.ConnectionClosed):
-                self.ended = True
-            elif isinstance(event, h11.Request):
-                self.head = event
-                self.arrived_s = read_boot_clock()
-            elif isinstance(event, h11.Data):
-                self._add_body(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
+        self.is_interrupted = False
+        for _ in range(STEPS_PER_TURN):
+            event = self._parse_event()
+            if isinstance(event, h11.EndOfMessage):
                 return self._finish_request()
+            if event is None:
+                self._note_incomplete()
+                return None
+            self._apply_event(event)
+        self.is_interrupted = True
         return None
 
+    def _note_incomplete(self) -> None:
+        if not self.is_idle and self.incomplete_since_s is None:
+            self.incomplete_since_s = read_boot_clock()
+
+    def find_time_left(self, body_s: float, now_s: float) -> float:
+        """Find how long the rest of an incomplete request may take.
+
+        :param body_s: time in which the body is due after the head.
+        :param now_s: the time.
+        :returns: seconds; 0 or less if the request is overdue.
+        """
+        if self.head is not None:
+            return self.arrived_s + body_s - now_s
+        since_s = self.incomplete_since_s
+        started_s = now_s if since_s is None else since_s
+        return started_s + self.limits.header_timeout_s - now_s
+
+    def _parse_event(self) -> h11.Event | None:
+        """Parse the next part of the stream, if it has arrived."""
+        if self.ended:
+            return None
+        try:
+            event = self.http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise InvalidRequest(error.error_status_hint) from None
+        return None if event in (h11.NEED_DATA, h11.PAUSED) else event
+
+    def _apply_event(self, event: h11.Event) -> None:
+        if isinstance(event, h11.ConnectionClosed):
+            self.ended = True
+        elif isinstance(event, h11.Request):
+            self.head = event
+            self.arrived_s = read_boot_clock()
+        elif isinstance(event, h11.Data):
+            self._add_body(event.data)
+
     def _add_body(self, data: bytes) -> None:
-        self.body_size += len(data)
-        if self.body_size > self.limits.body_bytes:
+        self.body += data
+        self.body_parts += 1
+        if (
+            len(self.body) > self.limits.body_bytes
+            or self.body_parts > MAX_BODY_PARTS
+        ):
             raise InvalidRequest(HTTP_CONTENT_TOO_LARGE)
-        self.body_parts.append(data)
 
     def _finish_request(self) -> Request:
         head = self.head
@@ -103,10 +143,11 @@
             head.method.decode("ascii"),
             head.target.decode("ascii"),
             tuple(head.headers),
-            b"".join(self.body_parts),
+            bytes(self.body),
             self.arrived_s,
         )
-        self.head, self.body_parts, self.body_size = None, [], 0
+        self.head, self.body, self.body_parts = None, bytearray(), 0
+        self.incomplete_since_s = None
         self.unanswered = request
         return request
 
--- a/carawayvale/gateway/server.py
+++ b/carawayvale/gateway/server.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from collections import deque
 from dataclasses import dataclass
+import math
 import socket
 
 import curio
@@ -24,7 +25,9 @@
 from carawayvale.gateway.request_parser import encode_response
 from carawayvale.gateway.request_parser import InvalidRequest
 from carawayvale.gateway.request_parser import RequestParser
+from carawayvale.links.http import Headers
 from carawayvale.links.http import READ_BYTES
+from carawayvale.links.turns import TurnCounter
 from carawayvale.telemetry.logs import log_event
 
 # Maximum number of requests of one connection that are in progress.
@@ -44,6 +47,16 @@
 
 
 HandleRequest = Callable[[Request], Awaitable[Response]]
+FindTimeout = Callable[[Headers], float]
+
+
+def find_no_timeout(headers: Headers) -> float:
+    """Let the body of a request take any time.
+
+    :param headers: headers of the request.
+    :returns: infinity.
+    """
+    return math.inf
 
 
 class RequestServer:
@@ -51,13 +64,19 @@
 
     :param handle: returns the response to one request.
     :param limits: size limits and timeouts for callers.
+    :param find_timeout: tells by the headers of a request within how many
+        seconds its body has to arrive.
     """
 
     def __init__(
-        self, handle: HandleRequest, limits: RequestLimits = RequestLimits()
+        self,
+        handle: HandleRequest,
+        limits: RequestLimits = RequestLimits(),
+        find_timeout: FindTimeout = find_no_timeout,
     ):
         self.handle = handle
         self.limits = limits
+        self.find_timeout = find_timeout
         self.closing = False
         self.stopped = False
         self.open_requests = 0
@@ -141,11 +160,12 @@
         it and drops what the caller has not received of the last response.
         """
         self.server.lingering += 1
+        turns = TurnCounter()
         try:
             self.sock._socket.shutdown(socket.SHUT_WR)
             async with curio.ignore_after(LINGER_S):
                 while await self.sock.recv(READ_BYTES):
-                    pass
+                    await turns.count_steps()
         except OSError as error:
             log_event("caller_gone", "DEBUG", cause=str(error))
         finally:
@@ -158,6 +178,7 @@
 
     async def _read_requests(self) -> None:
         """Read requests until the stream ends, fails or is idle."""
+        turns = TurnCounter()
         try:
             while not self.input_ended:
                 await self._start_requests()
@@ -168,6 +189,7 @@
                 if not data:
                     break
                 self.parser.receive(data)
+                await turns.count_steps()
         except InvalidRequest as invalid:
             self.error_status = invalid.status
         except curio.TaskTimeout:
@@ -192,11 +214,26 @@
                 if not self.parser.is_idle or self._find_timeout() <= 0:
                     raise
 
+    def _check_time(self) -> None:
+        """Give up a request that did not arrive in time.
+
+        :raises InvalidRequest: if the time for the request has passed.
+        """
+        if not self.parser.is_idle and self._find_message_time() <= 0:
+            raise InvalidRequest(HTTP_REQUEST_TIMEOUT)
+
+    def _find_message_time(self) -> float:
+        """Time that the rest of an incomplete request may take."""
+        head = self.parser.head
+        body_s = self.server.find_timeout(head.headers) if head else 0.0
+        return self.parser.find_time_left(body_s, read_boot_clock())
+
     def _find_timeout(self) -> float:
         """Time until the next check of whether the connection is idle."""
         limits = self.server.limits
         if not self.parser.is_idle:
-            return limits.header_timeout_s
+            left_s = self._find_message_time()
+            return max(0.0, min(limits.header_timeout_s, left_s))
         timeout_s = limits.idle_timeout_s + IDLE_MARGIN_S
         if self.pipeline:
             return timeout_s
@@ -205,7 +242,12 @@
     async def _start_requests(self) -> None:
         while len(self.pipeline) < PIPELINE_DEPTH and not self.server.stopped:
             request = self.parser.parse_next()
+            if self.parser.is_interrupted:
+                await curio.sleep(0)
+                self._check_time()
+                continue
             if request is None:
+                self._check_time()
                 break
             open_request = OpenRequest(request)
             self.pipeline.append(open_request)
--- a/carawayvale/links/http.py
+++ b/carawayvale/links/http.py
@@ -15,6 +15,10 @@
 MAX_HEADER_BYTES = 16384
 CONNECT_TIMEOUT_S = 1.0
 
+# Maximum number of parts, such as chunks, in which a body may arrive. Each
+# costs as much as the parsing of some hundred bytes.
+MAX_BODY_PARTS = 1 << 21
+
 # A peer that vanishes without closing the connection is detected after
 # USER_TIMEOUT_MS while data is unacknowledged, and on an idle connection
 # when the first keep-alive probe is due after that time. The timeout
--- a/carawayvale/links/http_client.py
+++ b/carawayvale/links/http_client.py
@@ -9,9 +9,11 @@
 
 from carawayvale.links.http import ConnectionBroken
 from carawayvale.links.http import Headers
+from carawayvale.links.http import MAX_BODY_PARTS
 from carawayvale.links.http import MAX_HEADER_BYTES
 from carawayvale.links.http import READ_BYTES
 from carawayvale.links.http import ResponseHead
+from carawayvale.links.turns import TurnCounter
 from carawayvale.telemetry.logs import log_event
 
 # Maximum number of informational responses before the response.
@@ -31,6 +33,7 @@
         )
         self.started = False
         self.aborted = False
+        self.turns = TurnCounter()
 
     async def send_head(
         self, method: str, target: str, headers: Headers, body: bytes = b""
@@ -129,19 +132,22 @@
 
         :param limit: maximum size of the body in bytes.
         :returns: the body.
-        :raises ConnectionBroken: if the body is truncated or too large.
+        :raises ConnectionBroken: if the body is truncated, too large, or
+            sent in more than MAX_BODY_PARTS parts.
         """
-        chunks = []
-        size = 0
-        while chunk := await self.read_chunk():
-            size += len(chunk)
-            if size > limit:
+        body = bytearray()
+        for _ in range(MAX_BODY_PARTS):
+            chunk = await self.read_chunk()
+            if not chunk:
+                return bytes(body)
+            body += chunk
+            if len(body) > limit:
                 raise ConnectionBroken(f"answer exceeds {limit} bytes")
-            chunks.append(chunk)
-        return b"".join(chunks)
+        raise ConnectionBroken(f"answer exceeds {MAX_BODY_PARTS} parts")
 
     async def _next_event(self) -> h11.Event:
         while True:
+            await self.turns.count_steps()
             try:
                 event = self.http.next_event()
             except h11.RemoteProtocolError as error:
--- a/carawayvale/links/http_server.py
+++ b/carawayvale/links/http_server.py
@@ -9,6 +9,7 @@
 from carawayvale.links.http import MAX_HEADER_BYTES
 from carawayvale.links.http import READ_BYTES
 from carawayvale.links.http import RequestHead
+from carawayvale.links.turns import TurnCounter
 
 
 class HttpServer:
@@ -29,6 +30,7 @@
         self.pending = b""
         self.body_left = False
         self.sends_body = True
+        self.turns = TurnCounter()
         self.peer = sock.getpeername()[0]
 
     async def wait_for_data(self) -> bool:
@@ -107,6 +109,7 @@
 
     async def _next_event(self) -> h11.Event:
         while True:
+            await self.turns.count_steps()
             event = self._parse_event()
             if event is h11.NEED_DATA:
                 try:
--- a/carawayvale/links/peer_link.py
+++ b/carawayvale/links/peer_link.py
@@ -27,6 +27,7 @@
 from carawayvale.links.messages import MAX_MESSAGE_BYTES
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links.messages import Welcome
+from carawayvale.links.turns import TurnCounter
 
 NONCE_BYTES = 16
 TAG_BYTES = 16
@@ -125,6 +126,7 @@
         self.received_bytes = 0
         self.received_packets = 0
         self.skipped_messages = 0
+        self.turns = TurnCounter()
 
     async def post(self, message: Any) -> None:
         """Queue a message for the writer; drop it if the queue is full.
@@ -204,7 +206,9 @@
         self.received_packets += 1
         self.protocol.receive_data(data)
         other_events = []
-        for event in self.protocol.events_received():
+        events = self.protocol.events_received()
+        await self.turns.count_steps(len(events))
+        for event in events:
             if isinstance(event, Frame) and event.opcode is Opcode.BINARY:
                 self.inbox.append(unpack_message(event.data))
             else:
--- a/carawayvale/machines/tests/test_bad_input.py
+++ b/carawayvale/machines/tests/test_bad_input.py
@@ -15,6 +15,7 @@
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links import open_link
 from carawayvale.links import PeerLink
+from carawayvale.links.turns import TurnCounter
 from carawayvale.machines.operator_handler import sign_document
 from carawayvale.machines.tests.harness import DOCUMENT
 from carawayvale.machines.tests.harness import KEY
@@ -145,6 +146,7 @@
             self.http = h11.Connection(h11.SERVER)
             self.pending, self.body_left = b"", False
             self.sends_body = True
+            self.turns = TurnCounter()
 
         curio.run(check)
 
