Requests are limited to the end of a planned stop, and none ends unanswered

Cause: the stop ends 0.6 s before the grace period, and no request knew of it. Requests waited for slots, or were sent to endpoints, by their callers' deadlines, and the instance accepted requests until it closed its port 3.2 s after the signal; at the end all open ones were cancelled without a response. Ruled out: endpoints that broke off (their logs show the work cut from our side), a late close of the look-ups (the connections were kept).

Change: steering/planned_stops.py gives a stop an end and a latest arrival. What still runs at the end gets 502.

--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -12,6 +12,7 @@
 from carawayvale.contracts.clock import Clock
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.change_feed import ChangeFeed
+from carawayvale.gateway.forwarding import limit_forwards
 from carawayvale.gateway.forwarding import OwnerHandler
 from carawayvale.gateway.gateway_node import GatewayNode
 from carawayvale.gateway.observer import format_ms
@@ -34,6 +35,8 @@
 from carawayvale.links.peers import PeerTable
 from carawayvale.machines.incarnation import make_incarnation
 from carawayvale.platform.store_client import StoreClient
+from carawayvale.steering.planned_stops import plan_stop
+from carawayvale.steering.planned_stops import PlannedStop
 from carawayvale.telemetry.logs import format_place
 from carawayvale.telemetry.logs import log_event
 
@@ -44,9 +47,9 @@
 # Callers may keep a look-up for up to three times its time to live.
 LOOKUP_EXPIRY_S = 3.2
 
-# A planned stop ends this long before the end of the grace period, even
-# if requests are in progress.
-STOP_MARGIN_S = 0.6
+# Interval at which owners are told which requests a stop wants back. It is
+# repeated, since a request may reach its owner after the first message.
+LIMIT_INTERVAL_S = 0.5
 
 
 class GatewayDaemon:
@@ -248,28 +251,41 @@
         """Complete a planned stop after it is requested.
 
         The instance first announces that it is leaving, so that new
-        look-ups no longer name it. It serves requests until earlier
-        look-ups have expired, and then finishes those in progress.
+        look-ups no longer name it. It accepts requests until earlier
+        look-ups have expired, and finishes those that can be finished
+        before the end of the stop; it refuses the others at once.
         """
         await self.stop_requested.wait()
         node = self.node
-        start_s = read_boot_clock()
+        stop = plan_stop(read_boot_clock(), self.settings.bounds.grace_s)
         log_event("stop_requested", instance=self.settings.name)
-        node.leaving = True
+        node.stop = stop
         node.membership.leave()
         await self.peers.update_neighbours()
         await self.peers.send_updates()
         self.caller_server.closing = True
+        await curio.spawn(self._limit_requests, stop, daemon=True)
         await curio.sleep(LOOKUP_EXPIRY_S)
-        deadline_s = start_s + self.settings.bounds.grace_s - STOP_MARGIN_S
-        self._log_stop_phase("close_callers", deadline_s)
-        await self._finish_requests(self.caller_server, deadline_s)
-        self._log_stop_phase("close_internal", deadline_s)
-        await self._finish_requests(self.internal_server, deadline_s)
-        self._log_stop_phase("depart", deadline_s)
+        self._log_stop_phase("close_callers", stop.end_s)
+        await self._finish_requests(self.caller_server, stop.end_s)
+        await self.caller_server.fail_open_requests()
+        self._log_stop_phase("close_internal", stop.end_s)
+        await self._finish_requests(self.internal_server, stop.end_s)
+        self._log_stop_phase("depart", stop.end_s)
         await self.peers.announce_departure()
         await curio.sleep(STOP_POLL_S)
 
+    async def _limit_requests(self, stop: PlannedStop) -> None:
+        """Make the requests in progress end before the stop does.
+
+        Those that wait for a slot, here or at another owner, and cannot
+        finish in time are refused as soon as that is known.
+        """
+        while read_boot_clock() < stop.end_s:
+            await self.node.limit_waiting(stop.end_s)
+            await limit_forwards(self.node, stop.end_s)
+            await curio.sleep(LIMIT_INTERVAL_S)
+
     def _log_stop_phase(self, phase: str, deadline_s: float) -> None:
         """Log the requests in progress when a phase of the stop begins."""
         log_event(
--- a/carawayvale/gateway/forward_table.py
+++ b/carawayvale/gateway/forward_table.py
@@ -1,4 +1,4 @@
-"""Connections with idempotent requests at the owners of endpoints."""
+"""Requests that are in progress at the owners of endpoints."""
 
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -19,10 +19,43 @@
 
 
 class ForwardTable:
-    """Connections in use that may be aborted, by the owner's process."""
+    """Forwarded requests, and the connections that may be aborted.
+
+    Both are listed by the owner's process.
+    """
 
     def __init__(self):
         self._clients: dict[OwnerProcess, set[HttpClient]] = {}
+        self._request_ids: dict[OwnerProcess, set[bytes]] = {}
+
+    def add_request(self, owner: OwnerProcess, request_id: bytes) -> None:
+        """Add a request that is being forwarded.
+
+        :param owner: process that gets the request.
+        :param request_id: id of the request.
+        """
+        self._request_ids.setdefault(owner, set()).add(request_id)
+
+    def discard_request(self, owner: OwnerProcess, request_id: bytes) -> None:
+        """Remove a request whose exchange has ended, if it is listed.
+
+        :param owner: process that got the request.
+        :param request_id: id of the request.
+        """
+        request_ids = self._request_ids.get(owner, set())
+        request_ids.discard(request_id)
+        if not request_ids:
+            self._request_ids.pop(owner, None)
+
+    def list_requests(self) -> dict[OwnerProcess, frozenset[bytes]]:
+        """List the requests that are being forwarded.
+
+        :returns: their ids by owner.
+        """
+        return {
+            owner: frozenset(request_ids)
+            for owner, request_ids in self._request_ids.items()
+        }
 
     def add(self, owner: OwnerProcess, client: HttpClient) -> None:
         """Add a connection on which a request is sent.
--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -24,23 +24,31 @@
 from carawayvale.gateway.upstream import UpstreamOutcome
 from carawayvale.gateway.upstream import UpstreamResult
 from carawayvale.links.connections import ConnectionPool
+from carawayvale.links.connections import OutgoingCall
 from carawayvale.links.http import ConnectFailed
 from carawayvale.links.http import ConnectionBroken
 from carawayvale.links.http import find_header
 from carawayvale.links.http import Headers
 from carawayvale.links.http_client import HttpClient
+from carawayvale.telemetry.logs import log_event
 
 # Each header carries all its fields in a fixed order.
 REQUEST_HEADER = b"caraway-order"
 RESULT_HEADER = b"caraway-result"
-INTERNAL_HEADERS = frozenset({REQUEST_HEADER, RESULT_HEADER})
+# Milliseconds within which the requests named in the body have to finish.
+LIMIT_HEADER = b"caraway-limit"
+INTERNAL_HEADERS = frozenset({REQUEST_HEADER, RESULT_HEADER, LIMIT_HEADER})
 SEPARATOR = ";"
+ID_SEPARATOR = b"\n"
 
 MS_PER_S = 1000.0
 CONNECT_TIMEOUT_S = 0.4
+LIMIT_TIMEOUT_S = 0.4
+MAX_LIMIT_RESPONSE_BYTES = 1024
 # Time past the deadline for which the response of an owner is awaited.
 RESPONSE_MARGIN_S = 0.15
 HTTP_OK = 200
+HTTP_BAD_REQUEST = 400
 MAX_CAUSE_LENGTH = 120
 
 
@@ -214,6 +222,8 @@
     except ConnectFailed as error:
         raise OwnerUnreachable(str(error)) from None
     complete = False
+    request_id = owner_request.request.find(id_header) or b""
+    forwards.add_request(owner, request_id)
     if owner_request.idempotent:
         forwards.add(owner, client)
     try:
@@ -236,6 +246,7 @@
             UpstreamOutcome.FAILED, cause=f"owner: {error!r}"
         )
     finally:
+        forwards.discard_request(owner, request_id)
         forwards.discard(owner, client)
         if not complete:
             await client.close()
@@ -279,22 +290,35 @@
         :param request: the request.
         :returns: a response with the encoded result.
         """
+        if request.find(LIMIT_HEADER) is not None:
+            return await self._limit_waiting(request)
         try:
             received = decode_owner_request(
                 request, self.node.header_names.affinity
             )
         except ValueError as error:
-            return Response(400, body=str(error).encode())
+            return Response(HTTP_BAD_REQUEST, body=str(error).encode())
         result = await self._serve(received)
         return encode_result(self._echo_id(request, result))
 
+    async def _limit_waiting(self, request: Request) -> Response:
+        """Limit the waiting requests that an instance wants back in time."""
+        value = request.find_text(LIMIT_HEADER)
+        if not value.isdigit():
+            return Response(HTTP_BAD_REQUEST)
+        until_s = request.arrived_s + int(value) / MS_PER_S
+        request_ids = frozenset(request.body.split(ID_SEPARATOR))
+        await self.node.limit_waiting(until_s, request_ids)
+        return Response(HTTP_OK)
+
     async def _serve(self, received: ReceivedOwnerRequest) -> UpstreamResult:
         if self.node.reachability.is_partitioned:
             return UpstreamResult(UpstreamOutcome.UNUSABLE)
         owned = self.node.find_owned(received.endpoint)
         if owned is None:
             return UpstreamResult(UpstreamOutcome.UNUSABLE)
-        return await owned.serve(received.owner_request)
+        limited = self.node.limit_to_stop(received.owner_request)
+        return await owned.serve(limited)
 
     def _echo_id(
         self, request: Request, result: UpstreamResult
@@ -322,6 +346,7 @@
     :returns: the result.
     :raises OwnerUnreachable: if the owner cannot be reached.
     """
+    owner_request = node.limit_to_stop(owner_request)
     if owner == node.settings.name:
         owned = node.find_owned(endpoint.name)
         if owned is None:
@@ -341,3 +366,35 @@
     )
     node.notices.record(endpoint, result, owner)
     return result
+
+
+async def limit_forwards(node: GatewayNode, until_s: float) -> None:
+    """Limit the requests of this instance that wait at other owners.
+
+    An owner returns those that cannot finish by then, without running them.
+
+    :param node: state of this instance.
+    :param until_s: time by which they have to be complete.
+    """
+    async with curio.TaskGroup() as group:
+        for owner, request_ids in node.forwards.list_requests().items():
+            address = node.find_internal_address(owner.name)
+            if address is not None:
+                pool = node.peer_pools.find(address)
+                await group.spawn(_send_limit, pool, request_ids, until_s)
+
+
+async def _send_limit(
+    pool: ConnectionPool, request_ids: frozenset[bytes], until_s: float
+) -> None:
+    limit_ms = max(0, int((until_s - read_boot_clock()) * MS_PER_S))
+    headers = [
+        (b"host", str(pool.address).encode()),
+        (LIMIT_HEADER, b"%d" % limit_ms),
+    ]
+    body = ID_SEPARATOR.join(sorted(request_ids))
+    call = OutgoingCall("POST", "/", headers, body)
+    try:
+        await pool.exchange(call, LIMIT_TIMEOUT_S, MAX_LIMIT_RESPONSE_BYTES)
+    except (ConnectionBroken, curio.TaskTimeout) as error:
+        log_event("limit_failed", owner=pool.address, cause=repr(error))
--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -1,5 +1,7 @@
 """Hold the state that the tasks and handlers of an instance share."""
 
+from dataclasses import replace
+
 from carawayvale.catalogue.builder import CatalogueBuilder
 from carawayvale.catalogue.header_names import HeaderNames
 from carawayvale.catalogue.records import Catalogue
@@ -17,6 +19,7 @@
 from carawayvale.gateway.forward_table import ForwardTable
 from carawayvale.gateway.observer import RequestObserver
 from carawayvale.gateway.owned_endpoint import OwnedEndpoint
+from carawayvale.gateway.owner_request import OwnerRequest
 from carawayvale.gateway.settings import GatewaySettings
 from carawayvale.links.connections import ConnectionPools
 from carawayvale.links.membership import Membership
@@ -24,6 +27,7 @@
 from carawayvale.links.messages import MemberState
 from carawayvale.steering.full_endpoints import FullEndpoints
 from carawayvale.steering.placement import group_by_region
+from carawayvale.steering.planned_stops import PlannedStop
 from carawayvale.steering.rates import FleetRetryBudget
 from carawayvale.steering.rates import ShiftLimit
 from carawayvale.steering.reachability import Reachability
@@ -68,7 +72,7 @@
         self.shift_limit = ShiftLimit(settings.bounds.max_shift)
         self.full_endpoints = FullEndpoints()
         self.forwards = ForwardTable()
-        self.leaving = False
+        self.stop: PlannedStop | None = None
         self.reachability = Reachability()
         self.configured_s = read_boot_clock()
         self.members_changed_s = self.configured_s
@@ -87,6 +91,11 @@
             self.reachability.record_connect,
         )
 
+    @property
+    def leaving(self) -> bool:
+        """Whether a planned stop was requested."""
+        return self.stop is not None
+
     @property
     def is_ready(self) -> bool:
         """Whether the instance can serve requests."""
@@ -191,6 +200,39 @@
             return None
         return configuration.services.get(endpoint.service)
 
+    def accepts_arrival(self, arrived_s: float) -> bool:
+        """Tell whether a request may be sent to an endpoint.
+
+        :param arrived_s: time at which it arrived.
+        :returns: False if it arrived late in the planned stop.
+        """
+        return self.stop is None or self.stop.accepts(arrived_s)
+
+    def limit_to_stop(self, owner_request: OwnerRequest) -> OwnerRequest:
+        """Limit the times of a request to the end of the planned stop.
+
+        :param owner_request: the request.
+        :returns: the request, with earlier times while the instance stops.
+        """
+        if self.stop is None:
+            return owner_request
+        return replace(
+            owner_request,
+            objective_s=self.stop.limit(owner_request.objective_s),
+            deadline_s=self.stop.limit(owner_request.deadline_s),
+        )
+
+    async def limit_waiting(
+        self, until_s: float, request_ids: frozenset[bytes] | None = None
+    ) -> None:
+        """Limit the times of requests that wait for a slot at this instance.
+
+        :param until_s: time by which they have to be complete.
+        :param request_ids: ids of the requests; None for all.
+        """
+        for owned in list(self.owned.values()):
+            await owned.limit_waiting(until_s, request_ids)
+
     def find_owned(self, name: str) -> OwnedEndpoint | None:
         """Find or create the queue and connections of an endpoint.
 
--- a/carawayvale/gateway/owned_endpoint.py
+++ b/carawayvale/gateway/owned_endpoint.py
@@ -49,9 +49,12 @@
     The event is set when the request gets a slot or has to leave the
     queue, and when the endpoint's state changes. ``started`` tells
     whether the request holds a slot.
+
+    :param request_id: id of the request.
     """
 
-    def __init__(self):
+    def __init__(self, request_id: bytes | None):
+        self.request_id = request_id
         self.event = curio.Event()
         self.started = False
 
@@ -211,7 +214,10 @@
             )
         success = False
         try:
-            if not await self._await_slot(queued):
+            request_id = owner_request.request.find(
+                self.context.header_names.request_id
+            )
+            if not await self._await_slot(queued, request_id):
                 pause_s = self.find_pause(read_boot_clock())
                 return UpstreamResult(
                     UpstreamOutcome.FULL, pause_s + queued.service_time_s
@@ -231,13 +237,15 @@
             self.queue.release(queued, read_boot_clock(), served)
             await self.dispatch()
 
-    async def _await_slot(self, queued: QueuedRequest) -> bool:
+    async def _await_slot(
+        self, queued: QueuedRequest, request_id: bytes | None
+    ) -> bool:
         """Wait until a request holds a slot.
 
         :returns: whether it does; False if it left the queue or the
             endpoint may not be used any more.
         """
-        waiter = SlotWaiter()
+        waiter = SlotWaiter(request_id)
         self.waiters[queued] = waiter
         await self.dispatch()
         while not waiter.started:
@@ -254,6 +262,28 @@
             await self.dispatch()
         return True
 
+    async def limit_waiting(
+        self, until_s: float, request_ids: frozenset[bytes] | None
+    ) -> None:
+        """Limit the times of requests that wait for a slot.
+
+        Those that cannot finish by then leave the queue.
+
+        :param until_s: time by which they have to be complete.
+        :param request_ids: ids of the requests; None for all.
+        """
+        limited = [
+            queued
+            for queued in self.queue.waiting
+            if request_ids is None
+            or self.waiters[queued].request_id in request_ids
+        ]
+        for queued in limited:
+            queued.limit_times(until_s)
+        if limited:
+            await self.dispatch()
+            await self.notify_waiters()
+
     async def dispatch(self) -> None:
         """Start the queued requests that may start.
 
--- a/carawayvale/gateway/request_attempts.py
+++ b/carawayvale/gateway/request_attempts.py
@@ -147,6 +147,9 @@
         was_full = bool(context.full) and not owner_request.may_be_late
         for endpoint in endpoints:
             now_s = read_boot_clock()
+            if not node.accepts_arrival(context.request.arrived_s):
+                context.stop_reason = StopReason.STOPPING
+                return None
             if now_s >= owner_request.deadline_s:
                 context.stop_reason = StopReason.DEADLINE
                 return None
--- a/carawayvale/gateway/request_context.py
+++ b/carawayvale/gateway/request_context.py
@@ -24,6 +24,7 @@
     RETRY_BUDGET = "retry_budget"
     CRASHES = "crashes"
     QUARANTINE = "quarantine"
+    STOPPING = "stopping"
 
 
 @dataclass(frozen=True)
--- a/carawayvale/gateway/server.py
+++ b/carawayvale/gateway/server.py
@@ -44,6 +44,11 @@
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 HTTP_REQUEST_TIMEOUT = 408
+HTTP_BAD_GATEWAY = 502
+HTTP_UNAVAILABLE = 503
+
+# Time for the last responses to be written.
+FAIL_WAIT_S = 0.05
 
 
 HandleRequest = Callable[[Request], Awaitable[Response]]
@@ -110,6 +115,16 @@
         for connection in list(self.connections):
             await connection.notify()
 
+    async def fail_open_requests(self) -> None:
+        """Answer the requests in progress, since the process is to end.
+
+        The response to one that was started does not deny that it ran.
+        """
+        for connection in list(self.connections):
+            await connection.fail_open_requests()
+        # The tasks that write the responses get a turn before the end.
+        await curio.sleep(FAIL_WAIT_S)
+
 
 @dataclass(eq=False)
 class OpenRequest:
@@ -339,6 +354,18 @@
             return False
         return True
 
+    async def fail_open_requests(self) -> None:
+        """Answer all requests of this connection that have no response."""
+        for open_request in self.pipeline:
+            if open_request.response is not None:
+                continue
+            status = HTTP_UNAVAILABLE
+            if open_request.task is not None:
+                await open_request.task.cancel(blocking=False)
+                status = HTTP_BAD_GATEWAY
+            open_request.response = Response(status, close=True)
+        await self.changed.set()
+
     async def notify(self) -> None:
         """Wake the writing task to check whether the server has stopped."""
         await self.changed.set()
--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -21,6 +21,10 @@
         "order_endpoints",
         "score_endpoint",
     ),
+    "planned_stops": (
+        "plan_stop",
+        "PlannedStop",
+    ),
     "quarantine": (
         "EndpointCrash",
         "Quarantine",
--- a/carawayvale/steering/admission.py
+++ b/carawayvale/steering/admission.py
@@ -88,6 +88,14 @@
     reuse_distance: int = 0
     answered_by_repeat: bool = False
 
+    def limit_times(self, until_s: float) -> None:
+        """Limit the times by which the response is due.
+
+        :param until_s: latest time.
+        """
+        self.objective_s = min(self.objective_s, until_s)
+        self.deadline_s = min(self.deadline_s, until_s)
+
 
 @dataclass(frozen=True)
 class Rejection:
