A repeated SIGTERM changes nothing in a planned stop

What callers saw: connections that ended without an answer, if the supervisor sent SIGTERM again during a stop.

Cause: the second stop signal cancelled the daemon. Ruled out: the end of the grace period (the connections end 0.3 s after the first signal).

Change: SIGTERM is the same request each time; a second SIGINT, from the keyboard, ends the daemon at once as before.

--- a/carawayvale/commands/daemon_runner.py
+++ b/carawayvale/commands/daemon_runner.py
@@ -52,7 +52,9 @@
 ) -> None:
     """Run a daemon and handle the signals that are sent to its process.
 
-    The first stop signal asks the daemon to stop, the second one cancels it.
+    The first stop signal asks the daemon to stop. A supervisor may repeat
+    SIGTERM; that changes nothing, as SIGKILL is there to end a process at
+    once. A second SIGINT, from the keyboard, cancels the daemon.
 
     :param run: coroutine function that runs the daemon until it ends.
     :param stop: coroutine function that asks the daemon to stop.
@@ -72,15 +74,17 @@
 async def _handle_signals(
     signals: SignalReader, stop: StopCallback, reload: ReloadCallback | None
 ) -> None:
-    stop_count = 0
-    while stop_count < 2:
+    received = set()
+    while True:
         number = await signals.wait()
         if number == signal.SIGHUP:
             await reload()
             continue
-        stop_count += 1
-        if stop_count == 1:
+        if number == signal.SIGINT and number in received:
+            return
+        if not received:
             await stop()
+        received.add(number)
 
 
 def raise_file_limit() -> None:
