--- a/carawayvale/commands/main.py
+++ b/carawayvale/commands/main.py
@@ -250,6 +250,16 @@
         response = curio.run(send_call, address, "POST", "/drain")
         print_json(json.loads(response.body))
 
+    def soak(self, **options: object) -> None:
+        """Play soaks of real gateways under trouble, and check promises.
+
+        :param options: those that ``python -m carawayvale.soak --help``
+            lists, such as ``--seed 1 --runs 5 --troubles term,kill``.
+        """
+        from carawayvale.soak.__main__ import play_seeds
+
+        play_seeds(**options)
+
     def demo(
         self, document: str = DEFAULT_DOCUMENT, seconds: float = 8.0
     ) -> None:
