Bodies of many requests stay within a share of the process's memory

Cause: each body was limited and their sum was not, and a body existed up to four times on its way. Ruled out: a leak (peak 31 MB without the uploads).

Change: memory for a body is reserved before it is read, at most a quarter of memory_mb for each port; callers' bodies without memory are refused with 503 and Retry-After after 0.5 s. Bodies are kept in one buffer and sent without a copy.

--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -11,6 +11,7 @@
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import Clock
 from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.body_memory import make_body_memory
 from carawayvale.gateway.change_feed import ChangeFeed
 from carawayvale.gateway.forwarding import limit_forwards
 from carawayvale.gateway.forwarding import OwnerHandler
@@ -44,6 +45,10 @@
 TICK_INTERVAL_S = 0.1
 STOP_POLL_S = 0.05
 
+# Longest wait of a caller's body for memory before it is refused, so that
+# its caller can try another instance.
+MEMORY_WAIT_S = 0.5
+
 # Callers may keep a look-up for up to three times its time to live.
 LOOKUP_EXPIRY_S = 3.2
 
@@ -99,9 +104,17 @@
         self.reachability_monitor = ReachabilityMonitor(self.node, self.peers)
         proxy_handler = ProxyHandler(self.node)
         self.caller_server = RequestServer(
-            proxy_handler.handle, find_timeout=proxy_handler.find_timeout
+            proxy_handler.handle,
+            find_timeout=proxy_handler.find_timeout,
+            body_memory=make_body_memory(settings.memory_mb),
+            memory_wait_s=MEMORY_WAIT_S,
+        )
+        # Bodies that another instance has accepted wait as long as it takes;
+        # those here end by themselves.
+        self.internal_server = RequestServer(
+            OwnerHandler(self.node).handle,
+            body_memory=make_body_memory(settings.memory_mb),
         )
-        self.internal_server = RequestServer(OwnerHandler(self.node).handle)
         self.listeners: dict[RequestServer, Listener] = {}
         self.stop_requested = curio.Event()
         self.listed_instances: dict[str, Address] = {}
--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -307,7 +307,7 @@
         if not value.isdigit():
             return Response(HTTP_BAD_REQUEST)
         until_s = request.arrived_s + int(value) / MS_PER_S
-        request_ids = frozenset(request.body.split(ID_SEPARATOR))
+        request_ids = frozenset(bytes(request.body).split(ID_SEPARATOR))
         await self.node.limit_waiting(until_s, request_ids)
         return Response(HTTP_OK)
 
--- a/carawayvale/gateway/http_messages.py
+++ b/carawayvale/gateway/http_messages.py
@@ -16,14 +16,14 @@
     :param method: HTTP method.
     :param target: path and query.
     :param headers: lower-case names and values.
-    :param body: the body.
+    :param body: the body, which is not changed any more.
     :param arrived_s: time at which the head arrived, by the boot clock.
     """
 
     method: str
     target: str
     headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
+    body: bytes | bytearray
     arrived_s: float
 
     def find(self, name: bytes) -> bytes | None:
--- a/carawayvale/gateway/request_parser.py
+++ b/carawayvale/gateway/request_parser.py
@@ -6,6 +6,7 @@
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.http_messages import Response
+from carawayvale.links.http import find_header
 from carawayvale.links.http import MAX_BODY_PARTS
 from carawayvale.links.turns import STEPS_PER_TURN
 
@@ -92,6 +93,12 @@
         self.is_interrupted = True
         return None
 
+    @property
+    def stated_body_bytes(self) -> int | None:
+        """Size that the head states for the body; None if it does not."""
+        value = find_header(self.head.headers, b"content-length")
+        return None if value is None else int(value)
+
     def _note_incomplete(self) -> None:
         if not self.is_idle and self.incomplete_since_s is None:
             self.incomplete_since_s = read_boot_clock()
@@ -143,7 +150,7 @@
             head.method.decode("ascii"),
             head.target.decode("ascii"),
             tuple(head.headers),
-            bytes(self.body),
+            self.body,
             self.arrived_s,
         )
         self.head, self.body, self.body_parts = None, bytearray(), 0
--- a/carawayvale/gateway/server.py
+++ b/carawayvale/gateway/server.py
@@ -20,6 +20,8 @@
 
 from carawayvale.catalogue.records import RequestLimits
 from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.body_memory import BodyMemory
+from carawayvale.gateway.body_memory import BodyReservation
 from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.http_messages import Response
 from carawayvale.gateway.request_parser import encode_response
@@ -47,6 +49,12 @@
 HTTP_BAD_GATEWAY = 502
 HTTP_UNAVAILABLE = 503
 
+# Headers of responses to requests that did not arrive.
+ERROR_HEADERS = {HTTP_UNAVAILABLE: ((b"retry-after", b"1"),)}
+
+# Interval at which a body that waits for memory checks for it.
+MEMORY_POLL_S = 0.02
+
 # Time for the last responses to be written.
 FAIL_WAIT_S = 0.05
 
@@ -71,6 +79,8 @@
     :param limits: size limits and timeouts for callers.
     :param find_timeout: tells by the headers of a request within how many
         seconds its body has to arrive.
+    :param body_memory: memory for the bodies of all connections.
+    :param memory_wait_s: longest wait of a body for memory.
     """
 
     def __init__(
@@ -78,7 +88,11 @@
         handle: HandleRequest,
         limits: RequestLimits = RequestLimits(),
         find_timeout: FindTimeout = find_no_timeout,
+        body_memory: BodyMemory | None = None,
+        memory_wait_s: float = math.inf,
     ):
+        self.body_memory = body_memory or BodyMemory()
+        self.memory_wait_s = memory_wait_s
         self.handle = handle
         self.limits = limits
         self.find_timeout = find_timeout
@@ -131,6 +145,7 @@
     """A request of a connection that is not answered yet."""
 
     request: Request
+    body: BodyReservation
     task: curio.Task | None = None
     response: Response | None = None
 
@@ -154,6 +169,7 @@
         self.input_ended = False
         self.error_status = 0
         self.sent_last = False
+        self.body = BodyReservation(server.body_memory)
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -165,6 +181,7 @@
                 await self._linger()
         finally:
             await reader.cancel(blocking=False)
+            self.body.release()
             while self.pipeline:
                 await self._cancel(self.pipeline.popleft())
 
@@ -188,6 +205,7 @@
 
     async def _cancel(self, open_request: OpenRequest) -> None:
         self.server.open_requests -= 1
+        open_request.body.release()
         if open_request.task is not None:
             await open_request.task.cancel(blocking=False)
 
@@ -263,8 +281,10 @@
                 continue
             if request is None:
                 self._check_time()
+                await self._reserve_body()
                 break
-            open_request = OpenRequest(request)
+            open_request = OpenRequest(request, self.body)
+            self.body = BodyReservation(self.server.body_memory)
             self.pipeline.append(open_request)
             self.server.open_requests += 1
             if request.method in IDEMPOTENT_METHODS or len(self.pipeline) == 1:
@@ -276,6 +296,23 @@
                 h11.InformationalResponse(status_code=100, headers=[])
             )
 
+    async def _reserve_body(self) -> None:
+        """Wait until there is memory for the rest of a request's body.
+
+        :raises InvalidRequest: if there is none in time; the request was
+            not run, so its caller can try another instance.
+        """
+        parser = self.parser
+        if parser.head is None:
+            return
+        refuse_s = read_boot_clock() + self.server.memory_wait_s
+        stated_bytes = parser.stated_body_bytes
+        while not self.body.extend(len(parser.body), stated_bytes):
+            self._check_time()
+            if read_boot_clock() >= refuse_s:
+                raise InvalidRequest(HTTP_UNAVAILABLE)
+            await curio.sleep(MEMORY_POLL_S)
+
     def _may_start(self) -> bool:
         """Tell whether another request may be read.
 
@@ -324,7 +361,11 @@
 
     async def _send_error(self) -> None:
         if self.error_status:
-            response = Response(self.error_status, close=True)
+            response = Response(
+                self.error_status,
+                ERROR_HEADERS.get(self.error_status, ()),
+                close=True,
+            )
             self.sent_last = await self._send(encode_response(response, "GET"))
 
     async def _write_next(self) -> bool:
@@ -351,6 +392,7 @@
             self.pipeline.popleft()
             self.idle_since_s = read_boot_clock()
             self.server.open_requests -= 1
+            open_request.body.release()
         ended = self.parser.ended and not self.pipeline
         self.sent_last = sent and (close or ended)
         return sent and not self.sent_last
--- a/carawayvale/gateway/settings.py
+++ b/carawayvale/gateway/settings.py
@@ -58,6 +58,7 @@
     :param bounds: bounds of the deployment.
     :param cpu_share: share of a processor core for the process.
     :param link_mbps: bandwidth of the network link in Mbit/s.
+    :param memory_mb: memory of the process in MB; 0 if it is not limited.
     :param max_files: maximum number of file descriptors of the process.
     """
 
@@ -76,4 +77,5 @@
     bounds: Bounds = Bounds()
     cpu_share: float = 1.0
     link_mbps: float = 1000.0
+    memory_mb: float = 0.0
     max_files: int = 1024
--- a/carawayvale/links/http_client.py
+++ b/carawayvale/links/http_client.py
@@ -19,6 +19,9 @@
 # Maximum number of informational responses before the response.
 MAX_INFORMATIONAL_RESPONSES = 16
 
+# A larger body is written separately from its head, without a copy.
+MAX_JOINED_BYTES = 1 << 16
+
 
 class HttpClient:
     """Client side of one connection, for one exchange at a time.
@@ -68,11 +71,15 @@
             length = (b"content-length", b"%d" % len(body))
             headers = [*headers, length]
         request = h11.Request(method=method, target=target, headers=headers)
-        data = self.http.send(request)
+        parts = [self.http.send(request)]
         if body:
-            data += self.http.send(h11.Data(data=body))
-        data += self.http.send(h11.EndOfMessage())
-        await self._write(data)
+            parts += self.http.send_with_data_passthrough(h11.Data(data=body))
+        parts.append(self.http.send(h11.EndOfMessage()))
+        if len(body) <= MAX_JOINED_BYTES:
+            await self._write(b"".join(parts))
+            return
+        for part in parts:
+            await self._write(part)
 
     async def send_chunk(self, data: bytes) -> None:
         """Send a chunk of the request body.
--- a/carawayvale/platform/settings.py
+++ b/carawayvale/platform/settings.py
@@ -188,5 +188,6 @@
     "bounds": _read_bounds,
     "cpu_share": _make_limit_decoder("cpu_share", 1.0),
     "link_mbps": _make_limit_decoder("link_mbps", 1000.0),
+    "memory_mb": _make_limit_decoder("memory_mb", 0.0),
     "max_files": _make_limit_decoder("max_fds", 1024),
 }
