SIGHUP during the start of a gateway reloads instead of ending it

What operators saw: a gateway that ended at SIGHUP in its first 200 ms.

Cause: the handlers are set after the imports. Change: the first statement of the program keeps SIGHUP, and the daemon handles what was kept.

Test: test_sighup_during_the_start_reloads.

--- a/carawayvale/commands/daemon_runner.py
+++ b/carawayvale/commands/daemon_runner.py
@@ -11,6 +11,7 @@
 import curio
 from curio.io import Socket
 
+from carawayvale.early_signals import take_held_signals
 
 # Longest time that a thread runs before another waiting thread gets its turn.
 SWITCH_INTERVAL_S = 0.001
@@ -37,6 +38,9 @@
         signal.set_wakeup_fd(self.writer.fileno())
         for number in numbers:
             signal.signal(number, lambda *_: None)
+        held = [n for n in take_held_signals() if n in numbers]
+        if held:
+            self.writer.send(bytes(held))
 
     async def wait(self) -> int:
         """Wait for a signal.
--- a/carawayvale/commands/tests/test_daemon_runner.py
+++ b/carawayvale/commands/tests/test_daemon_runner.py
@@ -7,6 +7,7 @@
 import pytest
 
 from carawayvale.commands.daemon_runner import run_with_signals
+from carawayvale.early_signals import hold_signal
 
 SIGNAL_GAP_S = 0.05
 
@@ -81,6 +82,13 @@
         daemon = RecordingDaemon(numbers)
         assert daemon.play() == ["stop", *reloads, "end"]
 
+    # Guards against a reload that ends a process which is starting.
+    def test_sighup_during_the_start_reloads(self):
+        hold_signal(signal.SIGHUP)
+        os.kill(os.getpid(), signal.SIGHUP)
+        daemon = RecordingDaemon((signal.SIGTERM,))
+        assert daemon.play() == ["reload", "stop", "end"]
+
     def test_second_sigint_ends_the_daemon_at_once(self):
         daemon = RecordingDaemon((signal.SIGINT, signal.SIGINT), ends=False)
         assert daemon.play() == ["stop"]
--- a/carawayvale/platform/__main__.py
+++ b/carawayvale/platform/__main__.py
@@ -1,8 +1,10 @@
 """Start a gateway instance on the platform."""
 
+import signal
 import sys
 
 from carawayvale.deferred_imports import defer_event_loop
+from carawayvale.early_signals import hold_signal
 
 
 def main() -> int:
@@ -10,6 +12,7 @@
 
     :returns: exit status of the process.
     """
+    hold_signal(signal.SIGHUP)
     defer_event_loop()
     from carawayvale.platform.gateway_command import run_gateway
 
