If all instances leave, those that left last own and are listed

Cause: look-ups list no leaving instance, even if there are only such; the owner among leaving instances was chosen by a hash, also one about to end.

Change: the member list knows since when an instance is leaving. Those that left less than 2 s ago are listed if there are no others, for 0.5 s, and are preferred as owners; next comes the instance that has the request.

--- a/carawayvale/gateway/endpoint_owners.py
+++ b/carawayvale/gateway/endpoint_owners.py
@@ -118,10 +118,20 @@
         ]
 
     def _list_leaving(self, endpoint: EndpointRecord) -> list[str]:
-        """List the leaving instances, those near an endpoint first."""
-        leaving = self.membership.list_leaving()
+        """List the leaving instances in the order in which they may own.
+
+        Those that left lately come first, since the others end before they
+        finish what they are sent; then this instance, which has the request
+        already. Within each group, those near the endpoint come first.
+        """
+        membership = self.membership
+        leaving = membership.list_leaving()
+        recent = {record.name for record in membership.list_recently_left()}
         leaving.sort(
             key=lambda record: (
+                record.name not in recent,
+                record.name != membership.own_record.name
+                and record.name not in recent,
                 record.region != endpoint.region,
                 hash_text(f"{endpoint.name}|{record.name}"),
             )
--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -325,7 +325,8 @@
         :param host: host name that the caller requests.
         :returns: the instances of the failure domain if there are at
             least two; else those of the region; else those of the
-            regions that may serve the host; else all.
+            regions that may serve the host; else all. Instances that are
+            leaving count only if there are no others.
         """
         alive = [
             r
@@ -333,6 +334,8 @@
             if r.state is MemberState.ALIVE
             and (r.name != self.settings.name or not self.leaving)
         ]
+        # If all instances leave at once, some of them still take requests.
+        alive = alive or self.membership.list_recently_left()
         nearby = [r for r in alive if r.domain == domain]
         if len(nearby) < 2:
             nearby = [r for r in alive if r.region == region]
--- a/carawayvale/gateway/page_handlers.py
+++ b/carawayvale/gateway/page_handlers.py
@@ -11,6 +11,7 @@
 from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.http_messages import Response
 from carawayvale.links.json_calls import JSON_TYPE
+from carawayvale.links.messages import MemberState
 from carawayvale.platform.lookups import decode_lookup
 from carawayvale.platform.lookups import encode_addresses
 from carawayvale.platform.lookups import READY_PATH
@@ -19,6 +20,9 @@
 # Bounds of the response to a look-up: number of addresses, time to live.
 MAX_ADDRESSES = 64
 MAX_LOOKUP_TTL_S = 2.0
+
+# Time to live of a response that lists leaving instances.
+LEAVING_LOOKUP_TTL_S = 0.5
 TEXT_TYPE = (b"content-type", b"text/plain; version=0.0.4")
 METRICS_PATH = "/metrics"
 STATE_PATH = "/state"
@@ -74,6 +78,8 @@
         if not addresses:
             return Response(HTTP_UNAVAILABLE)
         ttl_s = min(MAX_LOOKUP_TTL_S, self.node.settings.bounds.ttl_s)
+        if any(r.state is not MemberState.ALIVE for r in records):
+            ttl_s = min(ttl_s, LEAVING_LOOKUP_TTL_S)
         body = encode_addresses(addresses, ttl_s)
         return Response(HTTP_OK, (JSON_TYPE,), body)
 
--- a/carawayvale/gateway/tests/test_planned_stops.py
+++ b/carawayvale/gateway/tests/test_planned_stops.py
@@ -1,12 +1,14 @@
 """End-to-end tests of requests in progress while owners stop or fail."""
 
 from dataclasses import replace
+import json
 
 import curio
 import pytest
 
 from carawayvale.gateway import daemon as daemon_module
 from carawayvale.gateway.tests.fleet import open_fleet
+from carawayvale.gateway.tests.test_fleet import fetch
 from carawayvale.links.messages import MemberState
 
 SERVICE_TIME_S = 0.4
@@ -148,3 +150,23 @@
             assert set(states.values()) == {MemberState.ALIVE}
 
         run_scenario(scenario, instances=4)
+
+
+class TestAllLeaving:
+    # Guards against callers without an instance while all stop in turn.
+    def test_look_up_names_those_that_left_lately(self):
+        async def scenario(fleet):
+            for daemon in fleet.daemons:
+                await daemon.stop()
+            first = fleet.daemons[0]
+            await fleet.wait_until(
+                lambda: not first.node.membership.list_serving()
+            )
+            path = "/resolve?name=hulo.example&region=zurich&zone=zrh-a"
+            response = await fetch(first.settings.lookups, path)
+            assert response.head.status == 200
+            listed = json.loads(response.body)["addresses"]
+            assert len(listed) == len(fleet.daemons)
+            assert (await fleet.call(fleet.daemons[1])).head.status == 200
+
+        run_scenario(scenario, instances=3)
--- a/carawayvale/links/membership.py
+++ b/carawayvale/links/membership.py
@@ -25,6 +25,10 @@
 # suspicion may still be refuted.
 FINISHING = SERVING | {MemberState.IDLE}
 
+# An instance that leaves still takes requests for this long, and has time
+# to finish them.
+RECENTLY_LEFT_S = 2.0
+
 
 @dataclass
 class Membership:
@@ -47,6 +51,7 @@
     :param dead_s: time at which each dead instance was declared dead.
     :param idle_precedence: precedence of the last idle record of each
         instance.
+    :param left_s: time at which each idle instance became idle.
     :param departed: instances that announced their departure, which a
         failure detector's verdict of death does not.
     :param updates: changed records that are not sent yet, by name.
@@ -72,6 +77,7 @@
     idle_precedence: dict[str, tuple[int, int, int]] = field(
         default_factory=dict
     )
+    left_s: dict[str, float] = field(default_factory=dict)
     departed: set[str] = field(default_factory=set)
     updates: dict[str, MemberRecord] = field(default_factory=dict)
     generation: int = 0
@@ -127,6 +133,8 @@
             times.pop(name, None)
         self.departed.discard(name)
         if record.state is MemberState.IDLE:
+            if known is None or known.state is not MemberState.IDLE:
+                self.left_s[name] = now_s
             self.idle_precedence[name] = record.precedence
         elif record.state is MemberState.SUSPECT:
             self.suspected_s[name] = now_s
@@ -379,6 +387,17 @@
             if record.state is MemberState.IDLE and record.version > 0
         ]
 
+    def list_recently_left(self) -> list[MemberRecord]:
+        """List the leaving instances that still serve for some seconds.
+
+        :returns: records of all regions.
+        """
+        return [
+            record
+            for record in self.list_leaving()
+            if self.now_s - self.left_s[record.name] < RECENTLY_LEFT_S
+        ]
+
     @property
     def view_hash(self) -> bytes:
         """Hash of the member list, compared with the hashes of peers."""
--- a/carawayvale/links/tests/test_membership.py
+++ b/carawayvale/links/tests/test_membership.py
@@ -12,6 +12,7 @@
 from carawayvale.links import MemberRecord
 from carawayvale.links import Membership
 from carawayvale.links.membership import HEARTBEAT_INTERVAL_S
+from carawayvale.links.membership import RECENTLY_LEFT_S
 from carawayvale.links import MemberState
 from carawayvale.links.topology import REDIAL_FANOUT
 
@@ -366,3 +367,13 @@
         membership.receive(starting, 0.0)
         membership.receive(leaving.own_record, 0.0)
         assert [r.name for r in membership.list_leaving()] == ["e3"]
+
+    def test_instance_that_left_lately_still_serves(self):
+        leaving = Membership(make_record("e2"))
+        membership = make_peer("e2")
+        leaving.leave()
+        membership.receive(leaving.own_record, 5.0)
+        membership.now_s = 5.0 + RECENTLY_LEFT_S / 2
+        assert [r.name for r in membership.list_recently_left()] == ["e2"]
+        membership.now_s = 5.0 + RECENTLY_LEFT_S
+        assert not membership.list_recently_left()
