A late copy of the response before is skipped, and the next one counts

Cause: since ids are compared first, any response with another id ended the exchange as a failure, though the protocol says that such a copy is an extra response and the id identifies it.

Change: a response with the id of the previous request on its connection is skipped, at most twice, and the one behind it is read and compared. Responses with any other id are failures as before.

--- a/carawayvale/gateway/upstream.py
+++ b/carawayvale/gateway/upstream.py
@@ -1,7 +1,9 @@
 """Send a request to an endpoint and classify the response."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
+from weakref import WeakKeyDictionary
 
 import curio
 
@@ -13,6 +15,7 @@
 from carawayvale.gateway.http_messages import Request
 from carawayvale.links.http import ConnectFailed
 from carawayvale.links.http import ConnectionBroken
+from carawayvale.links.http import find_header
 from carawayvale.links.http import Headers
 from carawayvale.links.http import ResponseHead
 from carawayvale.links.http_client import HttpClient
@@ -29,6 +32,9 @@
 # without end may fill this much memory each.
 MAX_RESPONSE_BYTES = 8 << 20
 
+# Maximum number of late copies of earlier responses before a response.
+MAX_LATE_COPIES = 2
+
 # An endpoint responds at its deadline by itself; this margin covers the
 # transfer of that response.
 DEADLINE_MARGIN_S = 0.06
@@ -146,6 +152,9 @@
         self.endpoint = endpoint
         self.pool = EndpointPool(endpoint, record_connect)
         self.abortable: dict[int, set[HttpClient]] = {}
+        self.answered_ids: WeakKeyDictionary[HttpClient, bytes | None] = (
+            WeakKeyDictionary()
+        )
 
     async def send(
         self, request: Request, remaining_s: float, idempotent: bool
@@ -186,6 +195,7 @@
             if not reusable:
                 await client.close()
         if reusable:
+            self.answered_ids[client] = self._find_id(request.headers)
             await self.pool.release(client)
         return result
 
@@ -212,10 +222,30 @@
         await client.send_request(
             request.method, request.target, headers, request.body
         )
-        head = await client.read_head()
-        body = await client.read_body(MAX_RESPONSE_BYTES)
+        for _ in range(MAX_LATE_COPIES + 1):
+            head = await client.read_head()
+            body = await client.read_body(MAX_RESPONSE_BYTES)
+            if not self._is_late_copy(client, request, head):
+                break
+            if not client.skip_response(request.method):
+                break
         return self._classify_response(request, head, body)
 
+    def _find_id(self, headers: Iterable[tuple[bytes, bytes]]) -> bytes | None:
+        return find_header(headers, self.header_names.request_id)
+
+    def _is_late_copy(
+        self, client: HttpClient, request: Request, head: ResponseHead
+    ) -> bool:
+        """Tell whether a response repeats the last one on its connection.
+
+        The response to the request follows a late copy.
+        """
+        request_id = self._find_id(head.headers)
+        if request_id is None or request_id == self._find_id(request.headers):
+            return False
+        return request_id == self.answered_ids.get(client)
+
     def _make_headers(self, request: Request, remaining_s: float) -> Headers:
         header_names = self.header_names
         remaining_ms = b"%d" % max(1, int(remaining_s * MS_PER_S))
--- a/carawayvale/links/http_client.py
+++ b/carawayvale/links/http_client.py
@@ -173,6 +173,31 @@
             except RuntimeError:
                 raise ConnectionBroken("connection is closed") from None
 
+    def skip_response(self, method: str) -> bool:
+        """Prepare to read another response to the request in progress.
+
+        The one that was read belongs to an earlier request; what follows it
+        on the connection is kept.
+
+        :param method: method of the request.
+        :returns: whether another response can follow.
+        """
+        if self.http.their_state is not h11.DONE:
+            return False
+        data = self.http.trailing_data[0]
+        self.http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
+        )
+        # The state of the request only; its bytes have been sent.
+        request = h11.Request(
+            method=method, target="/", headers=[(b"host", b"")]
+        )
+        self.http.send(request)
+        self.http.send(h11.EndOfMessage())
+        if data:
+            self.http.receive_data(data)
+        return True
+
     def reset(self) -> bool:
         """Prepare for the next exchange.
 
