--- a/carawayvale/gateway/proxy_handler.py
+++ b/carawayvale/gateway/proxy_handler.py
@@ -15,6 +15,7 @@
 from carawayvale.gateway.owner_request import OwnerRequest
 from carawayvale.gateway.request_attempts import RequestAttempts
 from carawayvale.gateway.request_context import RequestContext
+from carawayvale.gateway.request_context import StopReason
 from carawayvale.links.http import find_header
 from carawayvale.links.http import Headers
 from carawayvale.steering.routing import choose_weighted_service
@@ -179,6 +180,8 @@
     def _find_refusal_reason(context: RequestContext) -> str:
         if context.quarantine_s:
             return "quarantine"
+        if context.stop_reason is StopReason.STOPPING:
+            return "stopping"
         return "full" if context.full else "no_endpoint"
 
     @staticmethod
--- a/carawayvale/gateway/tests/test_stopping_requests.py
+++ b/carawayvale/gateway/tests/test_stopping_requests.py
@@ -145,6 +145,8 @@
             assert await book(fleet, entry) == 503
             assert read_boot_clock() - start_s < SHORT_WORK_S
             assert len(endpoint.runs) == runs
+            counters = entry.node.observer.metrics.counters
+            assert counters[("refusals", "1/stopping")] == 1
 
         run_scenario(scenario, 2)
 
