--- a/carawayvale/soak/callers.py
+++ b/carawayvale/soak/callers.py
@@ -11,10 +11,13 @@
 from carawayvale.links.http import ConnectFailed
 from carawayvale.links.http import ConnectionBroken
 from carawayvale.links.http_client import HttpClient
+from carawayvale.platform.headers import HEADER_NAMES
 from carawayvale.soak.records import Record
 from carawayvale.soak.records import SentRequest
 
 HOST = b"wells.example"
+UNSAFE_PATH = "/book/1"
+SAFE_PATH = "/slot/1"
 MAX_BODY_BYTES = 1 << 16
 RETRY_S = 0.05
 MS_PER_S = 1000
@@ -96,16 +99,15 @@
         self.count += 1
         request_id = f"{self.number}-{self.count}"
         unsafe = self.random.random() < behaviour.unsafe_share
+        deadline_ms = behaviour.deadline_s * MS_PER_S
+        key = self.random.randrange(behaviour.objects)
         headers = [
             (b"host", HOST),
-            (b"x-request-id", request_id.encode()),
-            (b"x-deadline-ms", b"%d" % (behaviour.deadline_s * MS_PER_S)),
-            (
-                b"x-affinity-key",
-                b"%d" % self.random.randrange(behaviour.objects),
-            ),
+            (HEADER_NAMES.request_id, request_id.encode()),
+            (HEADER_NAMES.deadline_ms, b"%d" % deadline_ms),
+            (HEADER_NAMES.affinity, b"%d" % key),
         ]
-        method, path = ("POST", "/book/1") if unsafe else ("GET", "/slot/1")
+        method, path = ("POST", UNSAFE_PATH) if unsafe else ("GET", SAFE_PATH)
         client = self.client
         try:
             await client.send_request(method, path, headers)
@@ -129,5 +131,6 @@
         head = await self.client.read_head()
         request.body = await self.client.read_body(MAX_BODY_BYTES)
         request.status = head.status
-        request.echoed_id = (head.find(b"x-request-id") or b"").decode()
-        request.stamp = (head.find(b"x-server-stamp") or b"").decode()
+        echoed_id = head.find(HEADER_NAMES.request_id)
+        request.echoed_id = (echoed_id or b"").decode()
+        request.stamp = (head.find(HEADER_NAMES.stamp) or b"").decode()
--- a/carawayvale/soak/endpoints.py
+++ b/carawayvale/soak/endpoints.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 import random
 import time
+from typing import Any
 
 import curio
 from curio.io import Socket
@@ -16,12 +17,14 @@
 from carawayvale.links.http import READ_BYTES
 from carawayvale.links.listener import Listener
 from carawayvale.links.listener import open_listener
+from carawayvale.platform.headers import HEADER_NAMES
+from carawayvale.platform.standin_formats import HEALTH_PATH
+from carawayvale.platform.standin_formats import make_endpoint_entry
 from carawayvale.soak.records import make_body
 from carawayvale.soak.records import Record
 from carawayvale.soak.records import Run
 
 HEARTBEAT_S = 1.5
-HEALTH_PATH = "/health"
 
 
 @dataclass(frozen=True)
@@ -68,7 +71,7 @@
         self.random = random.Random(f"{seed}/{name}")
         self.running = 0
         self.sequence = 0
-        self.born_ms = int(time.time() * 1000)
+        self.started_ms = int(time.time() * 1000)
         self.address: Address | None = None
 
     def open(self, host: str) -> Listener:
@@ -81,28 +84,21 @@
         self.address = listener.address
         return listener
 
-    def make_entry(self, zone: str) -> dict:
+    def make_entry(self, domain: str) -> dict[str, Any]:
         """Make its next entry in the store.
 
-        :param zone: its zone.
+        :param domain: its failure domain.
         :returns: the entry.
         """
         self.sequence += 1
-        return {
-            "address": str(self.address),
-            "born": self.born_ms,
-            "info": {
-                "service": self.service,
-                "version": "v1",
-                "zone": zone,
-                "slots": self.behaviour.slots,
-            },
-            "status": {
-                "state": "ready",
-                "seq": self.sequence,
-                "cold_left": "0ms",
-            },
-        }
+        return make_endpoint_entry(
+            self.address,
+            self.started_ms,
+            self.service,
+            domain,
+            self.behaviour.slots,
+            self.sequence,
+        )
 
     async def serve(self, sock: Socket) -> None:
         """Serve one connection, one request at a time.
@@ -139,21 +135,23 @@
     async def _handle(self, sock: Socket, request: Request) -> Response | None:
         """Run or refuse a request; None if its connection was closed."""
         if request.path == HEALTH_PATH:
-            return Response(200, ((b"x-instance-id", self.name.encode()),))
-        echoed = (b"x-request-id", find_id(request).encode())
-        expected = request.find_text(b"x-expect-instance")
+            return Response(
+                200, ((HEADER_NAMES.endpoint, self.name.encode()),)
+            )
+        echoed = (HEADER_NAMES.request_id, find_id(request).encode())
+        expected = request.find_text(HEADER_NAMES.expected_endpoint)
         if expected not in ("", self.name):
             return Response(421, (echoed,))
         full = self.running >= self.behaviour.slots
         if full or self._happens(self.behaviour.refused_share):
-            return Response(503, (echoed, (b"x-not-executed", b"1")))
+            return Response(503, (echoed, (HEADER_NAMES.not_run, b"1")))
         self.running += 1
         try:
             if not await self._work(sock, request):
                 return None
         finally:
             self.running -= 1
-        stamp = (b"x-server-stamp", self.name.encode())
+        stamp = (HEADER_NAMES.stamp, self.name.encode())
         return Response(200, (echoed, stamp), make_body(find_id(request)))
 
     async def _work(self, sock: Socket, request: Request) -> bool:
@@ -174,4 +172,4 @@
     :param request: the request.
     :returns: the id.
     """
-    return request.find_text(b"x-request-id")
+    return request.find_text(HEADER_NAMES.request_id)
--- a/carawayvale/soak/gateways.py
+++ b/carawayvale/soak/gateways.py
@@ -16,13 +16,17 @@
 from carawayvale.links.connections import ConnectionPool
 from carawayvale.links.connections import OutgoingCall
 from carawayvale.links.http import ConnectionBroken
+from carawayvale.platform.settings import METRICS_VARIABLE
+from carawayvale.platform.settings import PATH_VARIABLE
+from carawayvale.platform.standin_formats import make_settings
+from carawayvale.platform.standin_formats import METRICS_OFFSET
+from carawayvale.platform.standin_formats import READY_PATH
 
 # Below the range of ephemeral ports; each gateway has its own address.
 FIRST_PORT = 7101
-CALLERS, READY, CONTROL, DIRECTORY, METRICS, INTERNAL, _, LAST = range(8)
+CALLERS, READINESS = range(2)
 
-ZONES = {"ekm-a": "ernakulam", "kzd-a": "kozhikode"}
-BOUNDS = "stable_window=3000ms drain=2500ms grace=6s config_apply=2500ms"
+REGIONS = {"ekm-a": "ernakulam", "kzd-a": "kozhikode"}
 READY_TIMEOUT_S = 30.0
 POLL_S = 0.05
 KILL_WAIT_S = 5.0
@@ -63,7 +67,7 @@
         self.number = number
         self.network = network
         self.store = store
-        self.zone = list(ZONES)[number % len(ZONES)]
+        self.domain = list(REGIONS)[number % len(REGIONS)]
         self.process: subprocess.Popen | None = None
 
     def find_address(self, port: int, number: int | None = None) -> Address:
@@ -82,25 +86,15 @@
         return self.folder / f"gateway-{self.number}.log"
 
     def _write_settings(self) -> Path:
-        names = {
-            "front": CALLERS,
-            "ready": READY,
-            "control": CONTROL,
-            "directory": DIRECTORY,
-        }
-        settings = {
-            "node": f"front-{self.zone}-{self.number}",
-            "ip": self.find_address(CALLERS).host,
-            "zone": self.zone,
-            "region": ZONES[self.zone],
-            "zones": ZONES,
-            "listen": {n: str(self.find_address(p)) for n, p in names.items()},
-            "internal_ports": [FIRST_PORT + INTERNAL, FIRST_PORT + LAST],
-            "seeds": [str(self.find_address(CONTROL, n)) for n in range(3)],
-            "limits": {"cpu_share": 0.6, "max_fds": 2870, "link_mbps": 700.0},
-            "bounds": BOUNDS.split(),
-            "platform": {"address": str(self.store), "form": "kv"},
-        }
+        settings = make_settings(
+            f"gateway-{self.number}",
+            self.find_address(CALLERS).host,
+            FIRST_PORT,
+            self.domain,
+            REGIONS,
+            [self.find_address(CALLERS, n).host for n in range(3)],
+            self.store,
+        )
         path = self.folder / f"settings-{self.number}.json"
         path.write_text(json.dumps(settings))
         return path
@@ -113,8 +107,8 @@
             **os.environ,
             "PYTHONPATH": str(find_libraries(self.root)),
             **role["env"],
-            "CARAWAYVALE_NODE_FILE": str(self._write_settings()),
-            "CARAWAYVALE_METRICS_PORT": str(FIRST_PORT + METRICS),
+            PATH_VARIABLE: str(self._write_settings()),
+            METRICS_VARIABLE: str(FIRST_PORT + METRICS_OFFSET),
             "PYTHONDONTWRITEBYTECODE": "1",
         }
         with self.log_path.open("ab") as log:
@@ -162,8 +156,8 @@
 
         :returns: whether it answered with status 200 within a second.
         """
-        pool = ConnectionPool(self.find_address(READY))
-        call = OutgoingCall("GET", "/ready", [(b"host", b"gateway")])
+        pool = ConnectionPool(self.find_address(READINESS))
+        call = OutgoingCall("GET", READY_PATH, [(b"host", b"gateway")])
         try:
             response = await pool.exchange(call, 1.0, MAX_BYTES)
         except (ConnectionBroken, curio.TaskTimeout):
--- a/carawayvale/soak/soak.py
+++ b/carawayvale/soak/soak.py
@@ -14,6 +14,9 @@
 from carawayvale.gateway.server import RequestServer
 from carawayvale.links.listener import Listener
 from carawayvale.links.listener import open_listener
+from carawayvale.platform.standin_formats import CONFIGURATION_KEY
+from carawayvale.platform.standin_formats import ENDPOINT_PREFIX
+from carawayvale.platform.standin_formats import make_configuration
 from carawayvale.platform.tests.fakes import FakeStore
 from carawayvale.soak.callers import CallerBehaviour
 from carawayvale.soak.callers import HOST
@@ -25,7 +28,7 @@
 from carawayvale.soak.endpoints import SoakEndpoint
 from carawayvale.soak.gateways import CALLERS
 from carawayvale.soak.gateways import GatewayProcess
-from carawayvale.soak.gateways import ZONES
+from carawayvale.soak.gateways import REGIONS
 from carawayvale.soak.records import Record
 from carawayvale.soak.troubles import KINDS
 from carawayvale.soak.troubles import plan_troubles
@@ -33,6 +36,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 SERVICE = "crew-desk"
+ROUTE_KINDS = {"/book/": "unsafe", "/slot/": "safe"}
 
 # Time for the gateways to list each other and the endpoints.
 SETTLE_S = 2.0
@@ -159,7 +163,10 @@
     async def _open_standins(self, group: curio.TaskGroup) -> None:
         plan = self.plan
         host = f"{self.network}.1"
-        self.store.put("op/config", make_configuration(plan))
+        configuration = make_configuration(
+            HOST.decode(), SERVICE, plan.caller.deadline_s, ROUTE_KINDS
+        )
+        self.store.put(CONFIGURATION_KEY, configuration)
         server = RequestServer(self.store.handle)
         store = Listener(open_listener(Address(host, 0)), server.serve)
         await group.spawn(store.run)
@@ -182,11 +189,11 @@
         ]
 
     async def _report_endpoints(self) -> None:
-        zones = list(ZONES)
+        domains = list(REGIONS)
         while True:
             for number, endpoint in enumerate(self.endpoints):
-                entry = endpoint.make_entry(zones[number % len(zones)])
-                self.store.put(f"servers/{endpoint.name}", entry)
+                entry = endpoint.make_entry(domains[number % len(domains)])
+                self.store.put(f"{ENDPOINT_PREFIX}{endpoint.name}", entry)
             await curio.sleep(HEARTBEAT_S)
 
     async def _start_gateways(self) -> None:
@@ -239,49 +246,6 @@
         return counts
 
 
-def make_configuration(plan: SoakPlan) -> dict:
-    """Make the operators' configuration of a soak.
-
-    :param plan: the plan.
-    :returns: the configuration in its stored form.
-    """
-    timeout = f"{plan.caller.deadline_s}s"
-    objective = f"{plan.caller.deadline_s / 2}s"
-    common = [HOST.decode(), SERVICE, timeout, objective, 0, 2, False, []]
-    return {
-        "version": 1,
-        "routes": {
-            "columns": [
-                "name",
-                "prefix",
-                "kind",
-                "host",
-                "service",
-                "timeout",
-                "target_latency",
-                "priority",
-                "max_attempts",
-                "session_affinity",
-                "allowed_regions",
-            ],
-            "rows": [
-                ["book", "/book/", "unsafe", *common],
-                ["slot", "/slot/", "safe", *common],
-            ],
-        },
-        "services": {
-            "columns": ["name", "health_path", "max_conns", "cold"],
-            "rows": [[SERVICE, "/health", 720, "3s"]],
-        },
-        "limits": {
-            "max_header_bytes": 16384,
-            "max_body_bytes": 1 << 20,
-            "header_timeout": "3000ms",
-            "idle_timeout": "15000ms",
-        },
-    }
-
-
 def play_soak(plan: SoakPlan, keep: Path | None = None) -> SoakResult:
     """Play a soak.
 
