--- a/carawayvale/gateway/server_connection.py
+++ b/carawayvale/gateway/server_connection.py
@@ -333,7 +333,7 @@
 
     async def fail_open_requests(self) -> None:
         """Answer all requests of this connection that have no response."""
-        for open_request in self.pipeline:
+        for open_request in list(self.pipeline):
             if open_request.response is not None:
                 continue
             status = HTTP_UNAVAILABLE
