--- a/carawayvale/soak/__main__.py
+++ b/carawayvale/soak/__main__.py
@@ -12,6 +12,17 @@
 from carawayvale.soak.troubles import KINDS
 
 
+def parse_names(names: str | tuple[str, ...]) -> tuple[str, ...]:
+    """Parse a list of names, which the command line may have split already.
+
+    :param names: the names, separated by commas or split.
+    :returns: the names.
+    """
+    if isinstance(names, str):
+        names = tuple(names.split(","))
+    return tuple(name for name in names if name)
+
+
 def play_seeds(
     seed: int = 1,
     runs: int = 1,
@@ -45,11 +56,7 @@
     :param root: folder of the code to run; empty for this one.
     :param keep: folder in which to keep the logs.
     """
-    kinds = (
-        tuple(troubles)
-        if not isinstance(troubles, str)
-        else tuple(name for name in troubles.split(",") if name)
-    )
+    kinds = parse_names(troubles)
     unknown = set(kinds) - set(KINDS)
     if unknown:
         sys.exit(f"unknown kinds: {', '.join(sorted(unknown))}")
