--- a/carawayvale/gateway/endpoint_owners.py
+++ b/carawayvale/gateway/endpoint_owners.py
@@ -125,13 +125,13 @@
         already. Within each group, those near the endpoint come first.
         """
         membership = self.membership
-        leaving = membership.list_leaving()
         recent = {record.name for record in membership.list_recently_left()}
+        groups = {name: 0 for name in recent}
+        groups.setdefault(membership.own_record.name, 1)
+        leaving = membership.list_leaving()
         leaving.sort(
             key=lambda record: (
-                record.name not in recent,
-                record.name != membership.own_record.name
-                and record.name not in recent,
+                groups.get(record.name, 2),
                 record.region != endpoint.region,
                 hash_text(f"{endpoint.name}|{record.name}"),
             )
