--- a/carawayvale/gateway/upstream.py
+++ b/carawayvale/gateway/upstream.py
@@ -1,6 +1,5 @@
 """Send a request to an endpoint and classify the response."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 from weakref import WeakKeyDictionary
@@ -15,7 +14,6 @@
 from carawayvale.gateway.http_messages import Request
 from carawayvale.links.http import ConnectFailed
 from carawayvale.links.http import ConnectionBroken
-from carawayvale.links.http import find_header
 from carawayvale.links.http import Headers
 from carawayvale.links.http import ResponseHead
 from carawayvale.links.http_client import HttpClient
@@ -195,7 +193,8 @@
             if not reusable:
                 await client.close()
         if reusable:
-            self.answered_ids[client] = self._find_id(request.headers)
+            request_id = request.find(self.header_names.request_id)
+            self.answered_ids[client] = request_id
             await self.pool.release(client)
         return result
 
@@ -231,9 +230,6 @@
                 break
         return self._classify_response(request, head, body)
 
-    def _find_id(self, headers: Iterable[tuple[bytes, bytes]]) -> bytes | None:
-        return find_header(headers, self.header_names.request_id)
-
     def _is_late_copy(
         self, client: HttpClient, request: Request, head: ResponseHead
     ) -> bool:
@@ -241,8 +237,9 @@
 
         The response to the request follows a late copy.
         """
-        request_id = self._find_id(head.headers)
-        if request_id is None or request_id == self._find_id(request.headers):
+        id_header = self.header_names.request_id
+        request_id = head.find(id_header)
+        if request_id is None or request_id == request.find(id_header):
             return False
         return request_id == self.answered_ids.get(client)
 
--- a/carawayvale/links/tests/floods.py
+++ b/carawayvale/links/tests/floods.py
@@ -3,7 +3,6 @@
 from contextlib import asynccontextmanager
 import socket
 import threading
-import time
 
 import curio
 
@@ -67,23 +66,17 @@
 
 
 class LongestGap:
-    """Longest work that the event loop did without a turn for a waiting task.
-
-    Processor time of the loop's thread counts, not the time in which the
-    machine ran other processes or the threads of the floods.
-    """
+    """Longest time that the event loop gave a waiting task no turn."""
 
     def __init__(self):
         self.gap_s = 0.0
-        self.elapsed_s = 0.0
 
     async def run(self):
         """Measure until cancelled."""
         while True:
-            start_s, elapsed_s = time.thread_time(), read_boot_clock()
+            start_s = read_boot_clock()
             await curio.sleep(INTERVAL_S)
-            self.gap_s = max(self.gap_s, time.thread_time() - start_s)
-            self.elapsed_s = max(self.elapsed_s, read_boot_clock() - elapsed_s)
+            self.gap_s = max(self.gap_s, read_boot_clock() - start_s)
 
 
 @asynccontextmanager
--- a/carawayvale/soak/callers.py
+++ b/carawayvale/soak/callers.py
@@ -72,11 +72,10 @@
         :param until_s: end of the traffic.
         """
         while time.monotonic() < until_s:
-            reused = self.client is not None
-            if not reused and not await self._connect():
+            if self.client is None and not await self._connect():
                 await curio.sleep(RETRY_S)
                 continue
-            if not await self._call(reused):
+            if not await self._call():
                 await self.client.close()
                 self.client = None
             await curio.sleep(self.random.uniform(0, self.behaviour.pause_s))
@@ -93,7 +92,7 @@
         self.client = HttpClient(sock)
         return True
 
-    async def _call(self, reused: bool) -> bool:
+    async def _call(self) -> bool:
         """Send one request; return whether the connection stays open."""
         behaviour = self.behaviour
         self.count += 1
@@ -114,7 +113,7 @@
         except ConnectionBroken:
             return False
         request = SentRequest(
-            request_id, not unsafe, self.gateway, reused, time.monotonic()
+            request_id, not unsafe, self.gateway, time.monotonic()
         )
         try:
             async with curio.timeout_after(behaviour.deadline_s + 1.0):
--- a/carawayvale/soak/records.py
+++ b/carawayvale/soak/records.py
@@ -11,7 +11,6 @@
     :param request_id: id of the request.
     :param idempotent: whether it may run more than once.
     :param gateway: number of the gateway that got it.
-    :param reused: whether its connection had carried a request before.
     :param sent_s: time at which its last byte was sent.
     :param ended_s: time of the answer, or of the end of the connection.
     :param status: status of the answer; 0 without one.
@@ -24,7 +23,6 @@
     request_id: str
     idempotent: bool
     gateway: int
-    reused: bool
     sent_s: float
     ended_s: float = 0.0
     status: int = 0
--- a/carawayvale/soak/tests/test_soak.py
+++ b/carawayvale/soak/tests/test_soak.py
@@ -21,7 +21,6 @@
         "r-1",
         idempotent,
         0,
-        True,
         10.0,
         10.0 + held_s,
         status,
