Catalogue: organisations, anonymous routes and bounds of revocation and quotas

Configurations with organisations were decoded without them, and the bounds of keys and quotas in the settings were ignored. They are now decoded into typed records, with findings that never show a key. Nothing uses them yet, so deployments without organisations are served as before.

--- a/carawayvale/catalogue/header_names.py
+++ b/carawayvale/catalogue/header_names.py
@@ -21,6 +21,10 @@
     :param leaving: marks the responses of an endpoint that is leaving.
     :param pause: seconds for which an endpoint wants nothing from the
         instance whose request it refused.
+    :param credentials: the key by which a caller identifies its
+        organisation.
+    :param organisation: name of the organisation of a request, which
+        instances set for endpoints.
     """
 
     request_id: bytes
@@ -35,3 +39,5 @@
     rate_limit: bytes
     leaving: bytes
     pause: bytes
+    credentials: bytes = b"authorization"
+    organisation: bytes = b""
--- a/carawayvale/catalogue/records.py
+++ b/carawayvale/catalogue/records.py
@@ -105,6 +105,9 @@
     :param allowed_regions: regions that may serve it; empty for all.
     :param sticky: whether an endpoint where the object is warm responds
         faster.
+    :param anonymous: whether its requests need no key of an organisation.
+    :param large_requests: whether its requests have large bodies.
+    :param large_responses: whether its responses have large bodies.
     """
 
     name: str
@@ -118,6 +121,31 @@
     weighted_services: tuple[WeightedService, ...]
     allowed_regions: frozenset[str] = frozenset()
     sticky: bool = False
+    anonymous: bool = False
+    large_requests: bool = False
+    large_responses: bool = False
+
+
+@dataclass(frozen=True)
+class OrganisationRecord:
+    """An organisation whose callers identify themselves by a key.
+
+    :param name: name of the organisation.
+    :param keys: its keys.
+    :param rank: priority that replaces that of the route; None if the
+        route's applies.
+    :param rate_per_s: requests per second that it may send to all
+        instances together; 0 for no limit.
+    :param burst: additional requests that it may send at once.
+    :param allowed_regions: regions that may serve it; empty for all.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    rank: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    allowed_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
@@ -145,6 +173,8 @@
     :param routes: all routes.
     :param services: services by name.
     :param limits: limits on the requests of callers.
+    :param organisations: organisations by name; empty if callers need no
+        keys.
     """
 
     version: int
@@ -152,6 +182,9 @@
     routes: tuple[RouteRecord, ...]
     services: Mapping[str, ServiceRecord]
     limits: RequestLimits = RequestLimits()
+    organisations: Mapping[str, OrganisationRecord] = field(
+        default_factory=dict
+    )
 
 
 @dataclass(frozen=True)
--- a/carawayvale/gateway/settings.py
+++ b/carawayvale/gateway/settings.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+import math
 
 from carawayvale.contracts.address import Address
 
@@ -24,6 +25,12 @@
     :param ttl_s: longest time to live of a look-up.
     :param max_shift: largest share of a region's requests that may
         shift to other regions from one short window to the next.
+    :param revoke_s: age of the configuration up to which a key counts;
+        infinity if a removed key may be accepted for longer.
+    :param quota_window_s: sliding window over which the requests of an
+        organisation are counted.
+    :param quota_excess: share by which a quota may be exceeded.
+    :param quota_slack: additional requests allowed per window.
     """
 
     stable_s: float = 3.0
@@ -37,6 +44,10 @@
     cold_slack: float = 5.0
     ttl_s: float = 5.0
     max_shift: float = 0.15
+    revoke_s: float = math.inf
+    quota_window_s: float = 5.0
+    quota_excess: float = 0.1
+    quota_slack: float = 20.0
 
 
 @dataclass(frozen=True)
--- a/carawayvale/platform/configuration.py
+++ b/carawayvale/platform/configuration.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from carawayvale.catalogue.records import Configuration
+from carawayvale.catalogue.records import OrganisationRecord
 from carawayvale.catalogue.records import RequestLimits
 from carawayvale.catalogue.records import RouteRecord
 from carawayvale.catalogue.records import ServiceRecord
@@ -27,6 +28,8 @@
 # A request may run more than once only if its route is of one of these
 # kinds. Any other kind, also an unknown one, may run only once.
 IDEMPOTENT_KINDS = frozenset({"safe", "download"})
+LARGE_REQUEST_KINDS = frozenset({"upload"})
+LARGE_RESPONSE_KINDS = frozenset({"download"})
 
 
 def decode_configuration(item: StoredItem) -> Configuration:
@@ -51,6 +54,10 @@
     findings += decoded[1]
     for route in decoded[0]:
         findings += _check_services_exist(item.key, route, services_by_name)
+    organisations, organisation_findings = _decode_organisations(
+        item.key, table
+    )
+    findings += organisation_findings
     limits = RequestLimits()
     try:
         limits = _decode_limits(table.get("limits", {}))
@@ -59,7 +66,12 @@
     if findings:
         raise InvalidInput(findings)
     return Configuration(
-        version, item.revision, tuple(decoded[0]), services_by_name, limits
+        version,
+        item.revision,
+        tuple(decoded[0]),
+        services_by_name,
+        limits,
+        organisations,
     )
 
 
@@ -85,6 +97,54 @@
     return decoded, findings
 
 
+def _decode_organisations(
+    source: str, table: dict[str, Any]
+) -> tuple[dict[str, OrganisationRecord], list[Finding]]:
+    """Decode the organisations, if the configuration has any."""
+    if table.get("tenants") is None:
+        return {}, []
+    try:
+        rows = read_rows(table["tenants"])
+    except ValueError as error:
+        return {}, [_make_finding(source, "tenants", str(error))]
+    decoded, findings = _decode_rows(
+        source, "tenants", rows, _decode_organisation
+    )
+    holders: dict[str, str] = {}
+    for organisation in decoded:
+        for key in organisation.keys:
+            holder = holders.setdefault(key, organisation.name)
+            if holder != organisation.name:
+                section = f"tenants:{organisation.name}"
+                message = f"a key is that of {holder!r} too"
+                findings.append(_make_finding(source, section, message))
+    return {record.name: record for record in decoded}, findings
+
+
+def _decode_organisation(row: dict[str, Any]) -> OrganisationRecord:
+    keys = row.get("api_keys", [])
+    if not _is_list_of_keys(keys):
+        # The value is not shown, since keys are secret.
+        raise ValueError("api_keys has the wrong type")
+    record = OrganisationRecord(
+        name=read_field(row, "name", str),
+        keys=tuple(keys),
+        rank=_read_optional(row, "priority", int, None),
+        rate_per_s=float(_read_optional(row, "rate_per_s", NUMBER, 0.0)),
+        burst=float(_read_optional(row, "burst", NUMBER, 0.0)),
+        allowed_regions=_read_allowed_regions(row),
+    )
+    if record.rate_per_s < 0 or record.burst < 0:
+        raise ValueError("rate_per_s and burst must not be negative")
+    return record
+
+
+def _is_list_of_keys(value: Any) -> bool:
+    return isinstance(value, list) and all(
+        isinstance(key, str) and key for key in value
+    )
+
+
 def _check_services_exist(
     source: str, route: RouteRecord, services: dict[str, ServiceRecord]
 ) -> list[Finding]:
@@ -121,11 +181,12 @@
     if not (prefix.startswith("/") and prefix.endswith("/")):
         raise ValueError(f"prefix {prefix!r} must start and end with a slash")
     timeout_s = parse_duration(row.get("timeout", "60s"))
+    kind = read_field(row, "kind", str)
     return RouteRecord(
         name=read_field(row, "name", str),
         host=read_field(row, "host", str).lower(),
         prefix=prefix,
-        idempotent=read_field(row, "kind", str) in IDEMPOTENT_KINDS,
+        idempotent=kind in IDEMPOTENT_KINDS,
         timeout_s=timeout_s,
         objective_s=parse_duration(row["target_latency"])
         if "target_latency" in row
@@ -135,6 +196,9 @@
         weighted_services=_decode_traffic_split(row),
         allowed_regions=_read_allowed_regions(row),
         sticky=_read_optional(row, "session_affinity", bool, False),
+        anonymous=_read_optional(row, "anonymous", bool, False),
+        large_requests=kind in LARGE_REQUEST_KINDS,
+        large_responses=kind in LARGE_RESPONSE_KINDS,
     )
 
 
--- a/carawayvale/platform/headers.py
+++ b/carawayvale/platform/headers.py
@@ -15,4 +15,6 @@
     rate_limit=b"server-limit",
     leaving=b"server-leaving",
     pause=b"retry-after",
+    credentials=b"authorization",
+    organisation=b"x-tenant",
 )
--- a/carawayvale/platform/settings.py
+++ b/carawayvale/platform/settings.py
@@ -44,8 +44,16 @@
     "cold_slack": ("cold_slack", float),
     "ttl_max": ("ttl_s", parse_duration),
     "max_shift": ("max_shift", float),
+    "quota_window": ("quota_window_s", parse_duration),
+    "quota_excess": ("quota_excess", float),
+    "quota_slack": ("quota_slack", float),
 }
 
+# The bound of the revocation of keys, which holds only if the other one of
+# these is set.
+REVOKE_BOUND = "revoke"
+STRICT_REVOKE_BOUND = "strict_revoke"
+
 
 def find_settings_path() -> str:
     """Determine the path of the settings file from the environment.
@@ -161,12 +169,16 @@
     assignments = table.get("bounds") or []
     if isinstance(assignments, str):
         assignments = assignments.split(",")
-    values = {}
+    texts = {}
     for text in assignments:
         name, _, value = text.strip().partition("=")
-        if name in BOUND_DECODERS:
-            field, parse = BOUND_DECODERS[name]
-            values[field] = parse(value)
+        texts[name] = value
+    values = {}
+    for name, (field, parse) in BOUND_DECODERS.items():
+        if name in texts:
+            values[field] = parse(texts[name])
+    if REVOKE_BOUND in texts and texts.get(STRICT_REVOKE_BOUND) == "true":
+        values["revoke_s"] = parse_duration(texts[REVOKE_BOUND])
     return Bounds(**values)
 
 
--- a/carawayvale/platform/tests/test_decoding.py
+++ b/carawayvale/platform/tests/test_decoding.py
@@ -1,6 +1,7 @@
 """Tests of the decoding of the platform's formats."""
 
 import copy
+import math
 
 import curio
 import pytest
@@ -150,7 +151,67 @@
             decode_configuration(make_item("op/config", value))
 
 
+def decode_organisations(*rows):
+    table = copy.deepcopy(CONFIGURATION)
+    table["tenants"] = {
+        "columns": [
+            "name",
+            "api_keys",
+            "priority",
+            "rate_per_s",
+            "burst",
+            "allowed_regions",
+        ],
+        "rows": list(rows),
+    }
+    return decode_configuration(make_item("op/config", table))
+
+
+class TestOrganisations:
+    def test_decodes_every_field(self):
+        configuration = decode_organisations(
+            ["press", ["k1", "k2"], 0, 40, 60, ["zurich"]],
+            ["desk", ["k3"], None, None, None, None],
+        )
+        press = configuration.organisations["press"]
+        assert press.keys == ("k1", "k2")
+        assert (press.rank, press.rate_per_s, press.burst) == (0, 40.0, 60.0)
+        assert press.allowed_regions == {"zurich"}
+        desk = configuration.organisations["desk"]
+        assert desk.rank is None
+        assert (desk.rate_per_s, desk.allowed_regions) == (0.0, frozenset())
+
+    def test_a_configuration_without_them_needs_no_keys(self):
+        item = make_item("op/config", CONFIGURATION)
+        assert decode_configuration(item).organisations == {}
+
+    @pytest.mark.parametrize("keys", ["secret", ["secret", 5], [""]])
+    def test_a_finding_on_keys_does_not_show_them(self, keys):
+        with pytest.raises(InvalidInput) as raised:
+            decode_organisations(["press", keys, 0, 0, 0, []])
+        assert "secret" not in str(raised.value.findings)
+
+    def test_a_key_of_two_organisations_is_a_finding_that_hides_it(self):
+        with pytest.raises(InvalidInput) as raised:
+            decode_organisations(
+                ["press", ["secret"], 0, 0, 0, []],
+                ["desk", ["secret"], 0, 0, 0, []],
+            )
+        assert "secret" not in str(raised.value.findings)
+
+    def test_a_negative_rate_is_a_finding(self):
+        with pytest.raises(InvalidInput):
+            decode_organisations(["press", ["k"], 0, -1, 0, []])
+
+
 class TestSettings:
+    def test_revocation_is_bounded_only_if_it_is_strict(self):
+        for strict, expected in (("true", 5.0), ("false", math.inf)):
+            table = copy.deepcopy(SETTINGS)
+            table["bounds"] = [f"strict_revoke={strict}", "revoke=5000ms"]
+            bounds = decode_settings(table, "settings.json").bounds
+            assert bounds.revoke_s == expected
+
     def test_decodes_every_field(self):
         settings = decode_settings(SETTINGS, "settings.json")
         assert settings.name == "front-zrh-a-1"
