Organisations are identified by keys, and their ranks and regions bind

Keys of callers were passed on to endpoints, organisations were unknown, and their regions and ranks had no effect. The entry instance now identifies the organisation by its key, drops the key and a forged organisation header, and sets the organisation's name on attempts, retries, repeats and forwarded requests. The regions of route and organisation both bind, on every attempt and on the hop to an owner; an empty intersection is refused. The fingerprint of a request uses the organisation in place of the key, as the owner never sees the key. Without organisations nothing changes.

--- a/carawayvale/catalogue/header_names.py
+++ b/carawayvale/catalogue/header_names.py
@@ -23,6 +23,8 @@
         instance whose request it refused.
     :param credentials: the key by which a caller identifies its
         organisation.
+    :param credentials_scheme: authentication scheme of the key, in lower
+        case.
     :param organisation: name of the organisation of a request, which
         instances set for endpoints.
     """
@@ -40,4 +42,5 @@
     leaving: bytes
     pause: bytes
     credentials: bytes = b"authorization"
+    credentials_scheme: bytes = b"token"
     organisation: bytes = b""
--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -155,13 +155,22 @@
             return await self._limit_waiting(request)
         try:
             received = decode_owner_request(
-                request, self.node.header_names.affinity
+                request,
+                self.node.header_names.affinity,
+                self._read_organisation(request),
             )
         except ValueError as error:
             return Response(HTTP_BAD_REQUEST, body=str(error).encode())
         result = await self._serve(received)
         return encode_result(self._echo_id(request, result))
 
+    def _read_organisation(self, request: Request) -> str:
+        """Read the organisation that the entry instance identified."""
+        if not self.node.has_organisations:
+            return ""
+        value = request.find(self.node.header_names.organisation) or b""
+        return value.decode(errors="replace")
+
     async def _limit_waiting(self, request: Request) -> Response:
         """Limit the waiting requests that an instance wants back in time."""
         value = request.find_text(LIMIT_HEADER)
--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -26,6 +26,7 @@
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links.messages import MemberState
 from carawayvale.steering.full_endpoints import FullEndpoints
+from carawayvale.steering.organisations import KeyTable
 from carawayvale.steering.placement import group_by_region
 from carawayvale.steering.planned_stops import PlannedStop
 from carawayvale.steering.rates import FleetRetryBudget
@@ -62,6 +63,7 @@
         self.builder = CatalogueBuilder(source)
         self.catalogue: Catalogue = EMPTY_CATALOGUE
         self.routes = RouteTable(())
+        self.key_table = KeyTable((), header_names.credentials_scheme)
         self.usable_endpoints: dict[str, dict[str, list[EndpointRecord]]] = {}
         self.owners = EndpointOwners(membership)
         self.owned: dict[str, OwnedEndpoint] = {}
@@ -101,6 +103,12 @@
         """Whether the instance can serve requests."""
         return self.catalogue.configuration is not None and not self.leaving
 
+    @property
+    def has_organisations(self) -> bool:
+        """Whether callers have to identify their organisations by keys."""
+        configuration = self.catalogue.configuration
+        return configuration is not None and bool(configuration.organisations)
+
     def apply_items(
         self, items: list[StoredItem], confirmed_s: float
     ) -> list[StoredItem]:
@@ -127,6 +135,10 @@
         configuration = catalogue.configuration
         if configuration is not old.configuration and configuration:
             self.routes = RouteTable(configuration.routes)
+            self.key_table = KeyTable(
+                configuration.organisations.values(),
+                self.header_names.credentials_scheme,
+            )
             self.configured_s = now_s
         self._group_usable_endpoints()
         if old.evacuated != catalogue.evacuated:
--- a/carawayvale/gateway/http_messages.py
+++ b/carawayvale/gateway/http_messages.py
@@ -18,6 +18,8 @@
     :param headers: lower-case names and values.
     :param body: the body, which is not changed any more.
     :param arrived_s: time at which the head arrived, by the boot clock.
+    :param organisation: name of the organisation that the caller belongs
+        to; empty if callers need no keys.
     """
 
     method: str
@@ -25,6 +27,7 @@
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes | bytearray
     arrived_s: float
+    organisation: str = ""
 
     def find(self, name: bytes) -> bytes | None:
         """Find the value of a header.
@@ -34,6 +37,14 @@
         """
         return find_header(self.headers, name)
 
+    def find_all(self, name: bytes) -> list[bytes]:
+        """Find all values of a header.
+
+        :param name: name in lower case.
+        :returns: the values in the order of the headers.
+        """
+        return [value for key, value in self.headers if key == name]
+
     def find_text(self, name: bytes) -> str:
         """Find the value of a header as text.
 
@@ -73,6 +84,9 @@
             self.find(b"cookie") or b"",
             self.body,
         )
+        if self.organisation:
+            # The key itself is known to the entry instance only.
+            parts += (self.organisation.encode(),)
         for part in parts:
             digest.update(b"%d:" % len(part))
             digest.update(part)
--- a/carawayvale/gateway/owner_messages.py
+++ b/carawayvale/gateway/owner_messages.py
@@ -75,12 +75,14 @@
 
 
 def decode_owner_request(
-    request: Request, affinity: bytes
+    request: Request, affinity: bytes, organisation: str = ""
 ) -> ReceivedOwnerRequest:
     """Decode a forwarded request.
 
     :param request: the request as it was received.
     :param affinity: name of the header that holds the object.
+    :param organisation: name of the caller's organisation; empty if
+        callers need no keys.
     :returns: the request and the parameters of the attempt.
     :raises ValueError: if the header is missing or malformed.
     """
@@ -98,6 +100,7 @@
         strip_internal_headers(request.headers),
         request.body,
         arrived_s,
+        organisation,
     )
     owner_request = OwnerRequest(
         original,
--- a/carawayvale/gateway/owner_request.py
+++ b/carawayvale/gateway/owner_request.py
@@ -33,3 +33,8 @@
     may_be_late: bool = False
     may_warm_up: bool = False
     may_use_failing: bool = False
+
+    @property
+    def organisation(self) -> str:
+        """Name of the caller's organisation; empty if there are none."""
+        return self.request.organisation
--- a/carawayvale/gateway/proxy_handler.py
+++ b/carawayvale/gateway/proxy_handler.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from carawayvale.catalogue.records import OrganisationRecord
 from carawayvale.catalogue.records import RouteRecord
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.gateway_node import GatewayNode
@@ -18,6 +19,9 @@
 from carawayvale.gateway.request_context import StopReason
 from carawayvale.links.http import find_header
 from carawayvale.links.http import Headers
+from carawayvale.steering.organisations import Identified
+from carawayvale.steering.organisations import intersect_regions
+from carawayvale.steering.organisations import Rejected
 from carawayvale.steering.routing import choose_weighted_service
 from carawayvale.steering.warm_up import WarmUpChoices
 
@@ -38,12 +42,43 @@
 UNKNOWN_RANK = -1
 
 HTTP_BAD_REQUEST = 400
+HTTP_UNAUTHORIZED = 401
 HTTP_NOT_FOUND = 404
 HTTP_BAD_GATEWAY = 502
 HTTP_UNAVAILABLE = 503
 HTTP_GATEWAY_TIMEOUT = 504
 
 
+def find_rank(
+    route: RouteRecord, organisation: OrganisationRecord | None
+) -> int:
+    """Find the priority of a request.
+
+    :param route: its route.
+    :param organisation: its organisation, if it has one.
+    :returns: the rank of the organisation, or else that of the route.
+    """
+    if organisation is None or organisation.rank is None:
+        return route.rank
+    return organisation.rank
+
+
+def find_regions(
+    route: RouteRecord, organisation: OrganisationRecord | None
+) -> frozenset[str] | None:
+    """Find the regions that may serve a request.
+
+    :param route: its route.
+    :param organisation: its organisation, if it has one.
+    :returns: the regions, empty for all; None if no region may.
+    """
+    if organisation is None:
+        return route.allowed_regions
+    return intersect_regions(
+        route.allowed_regions, organisation.allowed_regions
+    )
+
+
 class ProxyHandler:
     """Handler of callers' requests.
 
@@ -70,8 +105,15 @@
         request_id = request.find_text(self.header_names.request_id)
         if not request_id:
             return self._make_response(request, HTTP_BAD_REQUEST)
+        caller = self._identify_caller(request, route)
+        if isinstance(caller, Rejected):
+            return self._reject_caller(request, route, caller)
+        organisation = caller.organisation
+        allowed_regions = find_regions(route, organisation)
+        if allowed_regions is None:
+            return self._refuse_without_region(request, route, organisation)
         service = choose_weighted_service(route, request_id).service
-        owner_request = self._make_owner_request(request, route)
+        owner_request = self._make_owner_request(request, route, organisation)
         context = RequestContext(
             request,
             request_id,
@@ -79,6 +121,7 @@
             service,
             owner_request,
             WarmUpChoices(route.idempotent),
+            allowed_regions,
         )
         self.node.find_retry_budget(service).record_request(request.arrived_s)
         context.quarantine_s = self.node.crash_reports.find_wait(
@@ -98,7 +141,7 @@
         if result is None:
             return self._make_failure_response(context)
         took_s = read_boot_clock() - request.arrived_s
-        self.node.observer.record_response_time(route.rank, took_s)
+        self.node.observer.record_response_time(context.rank, took_s)
         self._record_outcome(
             context,
             RequestOutcome.ANSWERED,
@@ -123,7 +166,7 @@
         outcome: RequestOutcome,
         make_fields: MakeFields,
     ) -> None:
-        rank = context.route.rank
+        rank = context.rank
         self.node.observer.record_outcome(
             outcome, rank, context.request_id, make_fields
         )
@@ -131,29 +174,95 @@
             self.node.observer.count_lost_owner(owner.state, outcome)
 
     def _make_owner_request(
-        self, request: Request, route: RouteRecord
+        self,
+        request: Request,
+        route: RouteRecord,
+        organisation: OrganisationRecord | None,
     ) -> OwnerRequest:
         """Make the request for owners, with its objective and deadline."""
         timeout_s = min(self.find_timeout(request.headers), route.timeout_s)
         arrived_s = request.arrived_s
-        stripped = replace(
-            request, headers=strip_internal_headers(request.headers)
-        )
+        headers = strip_internal_headers(request.headers)
+        if self.node.has_organisations:
+            headers = self._replace_credentials(headers, organisation)
+        name = organisation.name if organisation else ""
         return OwnerRequest(
-            stripped,
-            route.rank,
+            replace(request, headers=headers, organisation=name),
+            find_rank(route, organisation),
             request.find_text(self.header_names.affinity),
             route.idempotent,
             arrived_s + route.objective_s - CALLER_ROUND_TRIP_S,
             arrived_s + timeout_s,
         )
 
+    def _replace_credentials(
+        self,
+        headers: tuple[tuple[bytes, bytes], ...],
+        organisation: OrganisationRecord | None,
+    ) -> tuple[tuple[bytes, bytes], ...]:
+        """Replace the key of a caller by the name of its organisation."""
+        names = self.header_names
+        secret = (names.credentials, names.organisation)
+        kept = tuple((n, v) for n, v in headers if n not in secret)
+        if organisation is None:
+            return kept
+        return (*kept, (names.organisation, organisation.name.encode()))
+
+    def _identify_caller(
+        self, request: Request, route: RouteRecord
+    ) -> Identified | Rejected:
+        """Identify the organisation of a request, if it needs one."""
+        if not self.node.has_organisations or route.anonymous:
+            return Identified()
+        credentials = request.find_all(self.header_names.credentials)
+        return self.node.key_table.identify(credentials)
+
+    def _reject_caller(
+        self, request: Request, route: RouteRecord, rejected: Rejected
+    ) -> Response:
+        """Make the response to a request without a valid key."""
+        fields = {"reason": rejected.reason.value, "route": route.name}
+        self._record_refusal(request, route.rank, fields)
+        scheme = self.header_names.credentials_scheme.title()
+        challenge = (b"www-authenticate", scheme)
+        return self._make_response(request, HTTP_UNAUTHORIZED, (challenge,))
+
+    def _refuse_without_region(
+        self,
+        request: Request,
+        route: RouteRecord,
+        organisation: OrganisationRecord | None,
+    ) -> Response:
+        """Refuse a request that no region may serve."""
+        fields = {
+            "reason": "no_region",
+            "route": route.name,
+            "organisation": organisation.name if organisation else "-",
+            "retry_s": MAX_RETRY_AFTER_S,
+        }
+        rank = find_rank(route, organisation)
+        self._record_refusal(request, rank, fields)
+        return self._refuse(request, MAX_RETRY_AFTER_S)
+
+    def _record_refusal(
+        self, request: Request, rank: int, fields: dict[str, object]
+    ) -> None:
+        """Count and log a refusal before the first attempt."""
+        observer = self.node.observer
+        observer.count_refusal(rank, str(fields["reason"]))
+        observer.record_outcome(
+            RequestOutcome.REFUSED,
+            rank,
+            request.find_text(self.header_names.request_id),
+            lambda: fields,
+        )
+
     def _make_failure_response(self, context: RequestContext) -> Response:
         """Make the response to a request without a result.
 
         A request that may have run failed; any other is refused.
         """
-        request, rank = context.request, context.route.rank
+        request, rank = context.request, context.rank
         now_s = read_boot_clock()
         revision = self.node.catalogue.revision
         if context.may_have_run:
@@ -194,14 +303,7 @@
         """Refuse a request because no configuration has been read."""
         retry_s = NO_CONFIGURATION_RETRY_AFTER_S
         fields = {"reason": "starting", "retry_s": retry_s}
-        observer = self.node.observer
-        observer.count_refusal(UNKNOWN_RANK, "starting")
-        observer.record_outcome(
-            RequestOutcome.REFUSED,
-            UNKNOWN_RANK,
-            request.find_text(self.header_names.request_id),
-            lambda: fields,
-        )
+        self._record_refusal(request, UNKNOWN_RANK, fields)
         return self._refuse(request, retry_s)
 
     def _refuse(self, request: Request, retry_s: float) -> Response:
--- a/carawayvale/gateway/request_attempts.py
+++ b/carawayvale/gateway/request_attempts.py
@@ -99,7 +99,7 @@
         """Order the usable endpoints for the object of a request."""
         node = self.node
         by_region = node.usable_endpoints.get(context.service, {})
-        allowed_regions = context.route.allowed_regions
+        allowed_regions = context.allowed_regions
         if allowed_regions:
             by_region = {
                 region: endpoints
@@ -210,7 +210,7 @@
         outcome = result.outcome.value if result else "no_owner"
         context.current = ""
         context.attempts.append((name, outcome))
-        self.node.observer.count_attempt(context.route.rank, outcome)
+        self.node.observer.count_attempt(context.rank, outcome)
 
     async def _attempt_owners(
         self,
@@ -223,7 +223,7 @@
         :returns: the result; None if no owner could be reached.
         """
         owners = self.node.owners.list_owners(
-            endpoint, context.route.allowed_regions
+            endpoint, context.allowed_regions
         )
         for owner in owners[:MAX_OWNERS]:
             try:
--- a/carawayvale/gateway/request_context.py
+++ b/carawayvale/gateway/request_context.py
@@ -58,6 +58,8 @@
     :param full: by name of an endpoint without a free slot, the seconds
         until the request would be complete there.
     :param warm_up_choices: the endpoints that may load the object.
+    :param allowed_regions: regions that may serve the request; empty for
+        all.
     :param skipped: endpoints that fail many requests; they are attempted
         after the healthy ones.
     :param attempts: endpoint and outcome of each attempt, for the log.
@@ -73,6 +75,7 @@
     service: str
     owner_request: OwnerRequest
     warm_up_choices: WarmUpChoices
+    allowed_regions: frozenset[str]
     may_have_run: bool = False
     stop_reason: StopReason | None = None
     crashes: int = 0
@@ -85,6 +88,11 @@
     lost_owners: list[LostOwner] = field(default_factory=list)
     fallback: UpstreamResult | None = None
 
+    @property
+    def rank(self) -> int:
+        """Priority of the request; 0 is the most urgent."""
+        return self.owner_request.rank
+
     @property
     def no_more_attempts(self) -> bool:
         """Whether no further attempt is allowed."""
@@ -109,6 +117,10 @@
             pairs.append(f"{self.current}:waits")
         return ",".join(pairs) or "-"
 
+    def _describe_caller(self) -> dict[str, object]:
+        organisation = self.owner_request.organisation
+        return {"organisation": organisation} if organisation else {}
+
     def describe_response(
         self, result: UpstreamResult, took_s: float
     ) -> dict[str, object]:
@@ -149,6 +161,7 @@
         """
         return {
             "route": self.route.name,
+            **self._describe_caller(),
             "asked": self.format_attempts(),
             "left_ms": format_ms(self.owner_request.deadline_s - now_s),
             "stopped_by": (self.stop_reason or StopReason.NO_CANDIDATE).value,
--- a/carawayvale/platform/configuration.py
+++ b/carawayvale/platform/configuration.py
@@ -126,8 +126,11 @@
     if not _is_list_of_keys(keys):
         # The value is not shown, since keys are secret.
         raise ValueError("api_keys has the wrong type")
+    name = read_field(row, "name", str)
+    if not name or not name.isprintable() or name != name.strip():
+        raise ValueError(f"name {name!r} cannot be sent in a header")
     record = OrganisationRecord(
-        name=read_field(row, "name", str),
+        name=name,
         keys=tuple(keys),
         rank=_read_optional(row, "priority", int, None),
         rate_per_s=float(_read_optional(row, "rate_per_s", NUMBER, 0.0)),
--- a/carawayvale/platform/headers.py
+++ b/carawayvale/platform/headers.py
@@ -16,5 +16,6 @@
     leaving=b"server-leaving",
     pause=b"retry-after",
     credentials=b"authorization",
+    credentials_scheme=b"token",
     organisation=b"x-tenant",
 )
--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -15,6 +15,13 @@
         "EndpointHealth",
         "HealthSignal",
     ),
+    "organisations": (
+        "Identified",
+        "intersect_regions",
+        "KeyTable",
+        "Rejected",
+        "RejectionReason",
+    ),
     "placement": (
         "group_by_region",
         "ObjectPlacement",
