Instances late in a planned stop get no new work

A process that did not see an instance serve no longer counts it among those that left lately. An owner that is late in its stop returns forwarded requests without sending them, as it does with those of callers.

--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -182,6 +182,11 @@
         return Response(HTTP_OK)
 
     async def _serve(self, received: ReceivedOwnerRequest) -> UpstreamResult:
+        arrived_s = received.owner_request.request.arrived_s
+        if not self.node.accepts_arrival(arrived_s):
+            # The run could end after this process, but before the deadline
+            # of the instance that forwarded the request.
+            return UpstreamResult(UpstreamOutcome.UNUSABLE)
         if self.node.reachability.is_partitioned:
             return UpstreamResult(UpstreamOutcome.UNUSABLE)
         owned = self.node.find_owned(received.endpoint)
--- a/carawayvale/gateway/tests/test_stopping_requests.py
+++ b/carawayvale/gateway/tests/test_stopping_requests.py
@@ -161,3 +161,22 @@
             assert len(endpoint.runs) == 1
 
         run_scenario(scenario, 1)
+
+    def test_owner_late_in_its_stop_takes_no_forwarded_request(self):
+        """The instance that forwards it may have a later end."""
+
+        async def scenario(fleet):
+            owner = find_owner(fleet)
+            entry = next(d for d in fleet.daemons if d is not owner)
+            endpoint = fleet.endpoints[ENDPOINT]
+            await owner.stop()
+            await fleet.wait_until(
+                lambda: not owner.node.accepts_arrival(read_boot_clock())
+            )
+            # The entry does not know that the owner is leaving.
+            entry.node.owners.list_owners = lambda *_: [owner.settings.name]
+            endpoint.service_time_s = LONG_WORK_S
+            assert await book(fleet, entry) == 503
+            assert not endpoint.runs
+
+        run_scenario(scenario, 2)
--- a/carawayvale/links/membership.py
+++ b/carawayvale/links/membership.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
+import math
 
 import xxhash
 
@@ -51,7 +52,8 @@
     :param dead_s: time at which each dead instance was declared dead.
     :param idle_precedence: precedence of the last idle record of each
         instance.
-    :param left_s: time at which each idle instance became idle.
+    :param left_s: time at which each idle instance became idle; minus
+        infinity if this process did not see it serve before.
     :param departed: instances that announced their departure, which a
         failure detector's verdict of death does not.
     :param updates: changed records that are not sent yet, by name.
@@ -115,6 +117,16 @@
         self._announce(replace(self.own_record, version=record.version + 1))
         return True
 
+    def _find_leave_time(
+        self, known: MemberRecord | None, record: MemberRecord, now_s: float
+    ) -> float:
+        """Find when an instance became idle, as this process has seen it."""
+        if known is None or known.incarnation != record.incarnation:
+            return -math.inf
+        if known.state is MemberState.ALIVE:
+            return now_s
+        return self.left_s.get(record.name, -math.inf)
+
     def _announce(self, record: MemberRecord) -> None:
         self.own_record = record
         self._store(record, self.now_s)
@@ -133,8 +145,7 @@
             times.pop(name, None)
         self.departed.discard(name)
         if record.state is MemberState.IDLE:
-            if known is None or known.state is not MemberState.IDLE:
-                self.left_s[name] = now_s
+            self.left_s[name] = self._find_leave_time(known, record, now_s)
             self.idle_precedence[name] = record.precedence
         elif record.state is MemberState.SUSPECT:
             self.suspected_s[name] = now_s
--- a/carawayvale/links/tests/test_membership.py
+++ b/carawayvale/links/tests/test_membership.py
@@ -368,6 +368,25 @@
         membership.receive(leaving.own_record, 0.0)
         assert [r.name for r in membership.list_leaving()] == ["e3"]
 
+    # Guards against requests for an instance that ends at once, sent by a
+    # process that has just started (review/4).
+    @pytest.mark.parametrize("was_starting", [False, True])
+    def test_time_of_a_departure_that_was_not_seen_is_unknown(
+        self, was_starting
+    ):
+        leaving = Membership(
+            replace(make_record("e2"), state=MemberState.IDLE)
+        )
+        membership = Membership(make_record("e1"))
+        if was_starting:
+            membership.receive(leaving.own_record, 4.5)
+        leaving.join()
+        leaving.leave()
+        membership.receive(leaving.own_record, 5.0)
+        membership.now_s = 5.0
+        assert [r.name for r in membership.list_leaving()] == ["e2"]
+        assert not membership.list_recently_left()
+
     def test_instance_that_left_lately_still_serves(self):
         leaving = Membership(make_record("e2"))
         membership = make_peer("e2")
