Bytes that are no HTTP/1.x response are a failure on every path

The HTTP client accepted whatever its parser did: statuses 600 to 999, versions 0.9, 2.0 and 9.9, chunked encoding in version 1.0 or together with a length, and control bytes in header values. Such responses reached callers, restored ejected endpoints, passed as results of owners, and confirmed writes to the store. Connections were reused after a 204 or 304 whose headers announce a body. The client now checks each head once, for all its users: the request counts as possibly run, the connection is closed, the endpoint's health counts it, and one line (invalid_response) names peer and cause.

On the hop, statuses and times of results are checked. An endpoint could send the header caraway-result itself, and so have its own response taken for "not run"; owners now drop it, and entries read the last one, as owners of earlier versions pass it on. An invalid response of an owner is a failure, not a lost owner. A deeply nested body or an epoch of thousands of digits from the store raised errors that its callers do not expect; both are failures of the store.

--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -31,6 +31,7 @@
 from carawayvale.links.http import ConnectFailed
 from carawayvale.links.http import ConnectionBroken
 from carawayvale.links.http import find_header
+from carawayvale.links.http import InvalidResponse
 from carawayvale.links.http_client import HttpClient
 from carawayvale.telemetry.logs import log_event
 
@@ -98,13 +99,13 @@
             UpstreamOutcome.LATE,
             cause="no response from owner before the deadline",
         )
-    except ConnectionBroken as error:
+    except (InvalidResponse, ValueError) as error:
         result = UpstreamResult(
-            UpstreamOutcome.OWNER_LOST, cause=f"owner: {error!r}"
+            UpstreamOutcome.FAILED, cause=f"owner: {error!r}"
         )
-    except ValueError as error:
+    except ConnectionBroken as error:
         result = UpstreamResult(
-            UpstreamOutcome.FAILED, cause=f"owner: {error!r}"
+            UpstreamOutcome.OWNER_LOST, cause=f"owner: {error!r}"
         )
     finally:
         forwards.discard_request(owner, request_id)
--- a/carawayvale/gateway/owner_messages.py
+++ b/carawayvale/gateway/owner_messages.py
@@ -15,6 +15,7 @@
 from carawayvale.gateway.upstream import UpstreamResult
 from carawayvale.links.http import find_header
 from carawayvale.links.http import Headers
+from carawayvale.links.response_checks import is_valid_status
 
 # Each header carries all its fields in a fixed order.
 REQUEST_HEADER = b"caraway-order"
@@ -28,6 +29,9 @@
 HTTP_OK = 200
 MAX_CAUSE_LENGTH = 120
 
+# No request waits longer; a larger number cannot be a time in seconds.
+MAX_FINISH_MS = 86_400_000
+
 
 def strip_internal_headers(
     headers: tuple[tuple[bytes, bytes], ...],
@@ -132,8 +136,9 @@
         cause.replace("\n", " ")[:MAX_CAUSE_LENGTH],
     )
     value = SEPARATOR.join(map(str, fields)).encode("ascii")
-    headers = (*result.headers, (RESULT_HEADER, value))
-    return Response(HTTP_OK, headers, result.body)
+    # The endpoint may have sent such headers too.
+    headers = strip_internal_headers(result.headers)
+    return Response(HTTP_OK, (*headers, (RESULT_HEADER, value)), result.body)
 
 
 def decode_result(
@@ -146,17 +151,26 @@
     :returns: the result.
     :raises ValueError: if the header is missing or malformed.
     """
-    value = find_header(headers, RESULT_HEADER) or b""
+    # Owners of earlier versions pass on such a header of the endpoint, and
+    # add their own after it.
+    value = find_header(reversed(headers), RESULT_HEADER) or b""
     fields = value.decode("latin-1").split(SEPARATOR, 5)
     if len(fields) != 6:
         raise ValueError(f"{RESULT_HEADER.decode()} has {len(fields)} fields")
+    outcome, status = UpstreamOutcome(fields[0]), int(fields[1])
+    is_answer = outcome is UpstreamOutcome.ANSWERED
+    if not is_valid_status(status) and (is_answer or status != 0):
+        raise ValueError(f"{outcome.value} with status {status}")
+    finish_ms = int(fields[2])
+    if abs(finish_ms) > MAX_FINISH_MS:
+        raise ValueError(f"{outcome.value} for more than a day")
     kept = strip_internal_headers(
         tuple(strip_hop_by_hop_headers(list(headers)))
     )
     return UpstreamResult(
-        UpstreamOutcome(fields[0]),
-        int(fields[2]) / MS_PER_S,
-        int(fields[1]),
+        outcome,
+        finish_ms / MS_PER_S,
+        status,
         kept,
         body,
         fields[5],
--- a/carawayvale/links/http.py
+++ b/carawayvale/links/http.py
@@ -33,6 +33,13 @@
     """Error raised if a connection fails or violates HTTP in an exchange."""
 
 
+class InvalidResponse(ConnectionBroken):
+    """Error raised for bytes that are no HTTP/1.x response.
+
+    What the peer did with the request is unknown.
+    """
+
+
 class ConnectFailed(ConnectionBroken):
     """Error raised if a connection cannot be opened; nothing was sent."""
 
--- a/carawayvale/links/http_client.py
+++ b/carawayvale/links/http_client.py
@@ -9,10 +9,13 @@
 
 from carawayvale.links.http import ConnectionBroken
 from carawayvale.links.http import Headers
+from carawayvale.links.http import InvalidResponse
 from carawayvale.links.http import MAX_BODY_PARTS
 from carawayvale.links.http import MAX_HEADER_BYTES
 from carawayvale.links.http import READ_BYTES
 from carawayvale.links.http import ResponseHead
+from carawayvale.links.response_checks import find_violation
+from carawayvale.links.response_checks import may_have_unread_body
 from carawayvale.links.turns import STEPS_PER_READ
 from carawayvale.links.turns import TurnCounter
 from carawayvale.telemetry.logs import log_event
@@ -20,6 +23,9 @@
 # Maximum number of informational responses before the response.
 MAX_INFORMATIONAL_RESPONSES = 16
 
+# The parser quotes the offending line, of up to MAX_HEADER_BYTES, in full.
+MAX_CAUSE_LENGTH = 120
+
 # A larger body is written separately from its head, without a copy.
 MAX_JOINED_BYTES = 1 << 16
 
@@ -37,6 +43,7 @@
         )
         self.started = False
         self.aborted = False
+        self.reusable = True
         self.turns = TurnCounter()
 
     async def send_head(
@@ -110,17 +117,52 @@
         """Read the head of the response, skipping informational responses.
 
         :returns: status and headers.
-        :raises ConnectionBroken: if the connection fails first, or after
+        :raises ConnectionBroken: if the connection fails first.
+        :raises InvalidResponse: if the response violates HTTP/1.x, or after
             more than MAX_INFORMATIONAL_RESPONSES.
         """
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
+                self._check_head(event)
                 continue
             if isinstance(event, h11.Response):
-                return ResponseHead(event.status_code, tuple(event.headers))
+                return self._check_head(event)
             raise ConnectionBroken("connection closed before the answer")
-        raise ConnectionBroken("informational responses without end")
+        raise self._refuse_response("informational responses without end")
+
+    def _check_head(
+        self, event: h11.Response | h11.InformationalResponse
+    ) -> ResponseHead:
+        # An iteration over the parser's headers costs as much as the checks.
+        headers = tuple(event.headers)
+        status = event.status_code
+        violation = find_violation(status, event.http_version, headers)
+        if violation:
+            raise self._refuse_response(violation)
+        if may_have_unread_body(status, headers):
+            self.reusable = False
+        return ResponseHead(status, headers)
+
+    def _refuse_response(self, cause: str) -> InvalidResponse:
+        """Log that the peer sent no valid response, and make the error."""
+        self.reusable = False
+        cause = f"invalid response: {cause[:MAX_CAUSE_LENGTH]}"
+        log_event(
+            "invalid_response",
+            "WARNING",
+            peer=self._describe_peer(),
+            cause=cause,
+        )
+        return InvalidResponse(cause)
+
+    def _describe_peer(self) -> str:
+        try:
+            host, port = self.sock._socket.getpeername()[:2]
+        except OSError:
+            # The peer has closed the connection meanwhile.
+            return "-"
+        return f"{host}:{port}"
 
     async def read_chunk(self) -> bytes:
         """Read the next chunk of the response body.
@@ -159,7 +201,10 @@
             try:
                 event = self.http.next_event()
             except h11.RemoteProtocolError as error:
-                raise ConnectionBroken(str(error)) from None
+                if self.http.trailing_data[1]:
+                    # The connection ended before the response did.
+                    raise ConnectionBroken(str(error)) from None
+                raise self._refuse_response(str(error)) from None
             if event is not h11.NEED_DATA:
                 return event
             try:
@@ -184,7 +229,7 @@
         :param method: method of the request.
         :returns: whether another response can follow.
         """
-        if self.http.their_state is not h11.DONE:
+        if self.http.their_state is not h11.DONE or not self.reusable:
             return False
         data = self.http.trailing_data[0]
         self.http = h11.Connection(
@@ -206,7 +251,7 @@
         :returns: whether the connection can be reused.
         """
         done = h11.DONE
-        if self.http.our_state is not done:
+        if not self.reusable or self.http.our_state is not done:
             return False
         if self.http.their_state is not done or self.http.trailing_data[0]:
             return False
--- a/carawayvale/platform/store_client.py
+++ b/carawayvale/platform/store_client.py
@@ -294,7 +294,8 @@
             return StoreResponse(status, None, epoch)
         try:
             return StoreResponse(status, json.loads(response.body), epoch)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
+            # The decoder of JSON is recursive, so nesting has a limit.
             raise StoreFailed(f"{self.address}: {error}") from None
 
     def record_epoch(self, epoch: int, source: str) -> None:
--- a/carawayvale/platform/store_responses.py
+++ b/carawayvale/platform/store_responses.py
@@ -15,6 +15,9 @@
 EPOCH_HEADER = b"store-era"
 FIRST_EPOCH = 1
 
+# More digits are no epoch, and Python refuses to convert thousands.
+MAX_EPOCH_DIGITS = 18
+
 
 class StoreFailed(ConnectionError):
     """The store sent no usable response; a write may have been applied."""
@@ -75,8 +78,8 @@
     text = head.find(EPOCH_HEADER)
     if text is None:
         return 0
-    if not text.isdigit():
-        raise StoreFailed(f"malformed epoch {text!r}")
+    if not text.isdigit() or len(text) > MAX_EPOCH_DIGITS:
+        raise StoreFailed(f"malformed epoch {text[:MAX_EPOCH_DIGITS]!r}")
     return max(0, int(text) - FIRST_EPOCH)
 
 
