explain tells the cause of refusals for an organisation

The timeline of a refused request showed a reason code only. It now ends with one sentence for the reasons no_key, malformed_credentials, unknown_key, quota, old_configuration and no_region, with the organisation and the time of a retry where the line has them.

--- a/carawayvale/commands/main.py
+++ b/carawayvale/commands/main.py
@@ -20,6 +20,7 @@
 from carawayvale.commands.documents import print_json
 from carawayvale.commands.exits import ExitStatus
 from carawayvale.commands.exits import fail
+from carawayvale.commands.request_timeline import explain_refusals
 from carawayvale.commands.request_timeline import format_timeline
 from carawayvale.commands.request_timeline import read_logs
 from carawayvale.commands.request_timeline import select_lines
@@ -202,6 +203,8 @@
     def explain(self, request_id: str, *logs: str) -> None:
         """Print the timeline of a request from the logs of instances.
 
+        The causes of refusals for the caller's organisation follow it.
+
         :param request_id: ID of the request.
         :param logs: files with the log lines of one or more instances.
         """
@@ -217,7 +220,9 @@
                 f"no line of request {request_id} in {len(lines)} lines; "
                 "only a sample of the served requests is logged",
             )
-        print("\n".join(format_timeline(str(request_id), timeline)))
+        texts = format_timeline(str(request_id), timeline)
+        texts += explain_refusals(str(request_id), timeline)
+        print("\n".join(texts))
 
     def check_deploy(
         self,
--- a/carawayvale/commands/request_timeline.py
+++ b/carawayvale/commands/request_timeline.py
@@ -1,6 +1,7 @@
 """Merges log lines of several processes into the timeline of a request."""
 
 from collections.abc import Iterable
+from collections import defaultdict
 from dataclasses import dataclass
 from datetime import datetime
 from pathlib import Path
@@ -33,6 +34,37 @@
     }
 )
 
+REFUSED_EVENT = "request_refused"
+
+# Causes of refusals for the organisation of a caller, by reason. Fields of
+# the line are inserted; a line of another version may lack them.
+REFUSAL_CAUSES = {
+    "no_key": (
+        "Status 401: the request states no key, and its route {route} is "
+        "not anonymous."
+    ),
+    "malformed_credentials": (
+        "Status 401: the credentials are repeated, too long, or not a "
+        "scheme and a key separated by a space; the key was not looked up."
+    ),
+    "unknown_key": (
+        "Status 401: the key belongs to no organisation in the configuration "
+        "that was in force at {instance}; it is mistyped, or revoked."
+    ),
+    "quota": (
+        "Status 429: organisation {organisation} has used up its quota over "
+        "all instances; the caller may retry after {retry_s} s."
+    ),
+    "old_configuration": (
+        "Status 503: {instance} could not tell whether the key is valid, "
+        "because its configuration was too old; look for store_lost there."
+    ),
+    "no_region": (
+        "Status 503: no region is allowed both for route {route} and for "
+        "organisation {organisation}."
+    ),
+}
+
 
 @dataclass(frozen=True)
 class LogLine:
@@ -190,3 +222,24 @@
             + " ".join(pairs)
         )
     return texts
+
+
+def explain_refusals(request_id: str, lines: list[LogLine]) -> list[str]:
+    """Tell why a request was refused for the organisation of its caller.
+
+    :param request_id: ID of the request.
+    :param lines: the lines that ``select_lines`` selected.
+    :returns: one sentence for each cause, in the order of the lines; empty
+        if the request was not refused, or for another reason.
+    """
+    sentences = []
+    for line in lines:
+        is_refusal = line.event == REFUSED_EVENT
+        if not is_refusal or line.fields.get(REQUEST_FIELD) != request_id:
+            continue
+        cause = REFUSAL_CAUSES.get(line.fields.get("reason", ""))
+        if cause is not None:
+            fields = defaultdict(lambda: "(not logged)", line.fields)
+            fields["instance"] = line.instance
+            sentences.append(cause.format_map(fields))
+    return list(dict.fromkeys(sentences))
--- a/carawayvale/commands/tests/test_main.py
+++ b/carawayvale/commands/tests/test_main.py
@@ -46,6 +46,11 @@
         completed = run_command("explain", "9c41", str(path))
         assert completed.returncode == 0, completed.stderr
         assert "request_refused  reason=full" in completed.stdout
+        unknown = path.read_text().replace("reason=full", "reason=unknown_key")
+        path.write_text(unknown)
+        completed = run_command("explain", "9c41", str(path))
+        (*_, sentence) = completed.stdout.splitlines()
+        assert sentence.startswith("Status 401: ")
         path.write_text(path.read_text().replace("9c41", "1e10"))
         assert run_command("explain", "1e10", str(path)).returncode == 0
         completed = run_command("explain", "none", str(path))
--- a/carawayvale/commands/tests/test_request_timeline.py
+++ b/carawayvale/commands/tests/test_request_timeline.py
@@ -1,9 +1,14 @@
 """Tests of merging logs into the timeline of a request."""
 
+import pytest
+
+from carawayvale.commands.request_timeline import explain_refusals
 from carawayvale.commands.request_timeline import format_timeline
 from carawayvale.commands.request_timeline import parse_line
 from carawayvale.commands.request_timeline import read_logs
+from carawayvale.commands.request_timeline import REFUSAL_CAUSES
 from carawayvale.commands.request_timeline import select_lines
+from carawayvale.steering.organisations import RejectionReason
 from carawayvale.telemetry.logs import format_event
 
 
@@ -56,3 +61,62 @@
     def test_lines_that_are_no_events_are_skipped(self):
         assert parse_line("Traceback (most recent call last):", "f") is None
         assert parse_line("time=never event=x", "f") is None
+
+
+class TestCausesOfRefusals:
+    def explain(self, tmp_path, *events):
+        log = write_log(tmp_path / "e1.log", *events)
+        timeline = select_lines("r1", read_logs([log]))
+        return explain_refusals("r1", timeline)
+
+    # Guards against an operator having to guess why a caller was refused.
+    @pytest.mark.parametrize(
+        "fields,status,part",
+        [
+            ({"reason": "no_key", "route": "fetch"}, 401, "route fetch"),
+            ({"reason": "malformed_credentials"}, 401, "not looked up"),
+            ({"reason": "unknown_key"}, 401, "in force at e1"),
+            (
+                {"reason": "quota", "organisation": "press", "retry_s": 0.4},
+                429,
+                "press has used up its quota",
+            ),
+            ({"reason": "old_configuration"}, 503, "too old"),
+            (
+                {"reason": "no_region", "route": "a", "organisation": "b"},
+                503,
+                "route a and for organisation b",
+            ),
+        ],
+    )
+    def test_one_sentence_tells_the_cause(
+        self, tmp_path, fields, status, part
+    ):
+        event = (1.0, "request_refused", {"request": "r1"} | fields)
+        (sentence,) = self.explain(tmp_path, event)
+        assert sentence.startswith(f"Status {status}: ")
+        assert part in sentence
+        assert "not logged" not in sentence
+
+    def test_every_rejection_of_credentials_has_a_cause(self):
+        assert {reason.value for reason in RejectionReason} <= set(
+            REFUSAL_CAUSES
+        )
+
+    def test_a_line_without_fields_is_explained(self, tmp_path):
+        event = (1.0, "request_refused", {"request": "r1", "reason": "quota"})
+        (sentence,) = self.explain(tmp_path, event)
+        assert "(not logged)" in sentence
+
+    def test_a_repeated_cause_is_told_once(self, tmp_path):
+        fields = {"request": "r1", "reason": "unknown_key"}
+        events = [(s, "request_refused", fields) for s in (1.0, 2.0)]
+        assert len(self.explain(tmp_path, *events)) == 1
+
+    def test_other_refusals_and_requests_are_not_explained(self, tmp_path):
+        assert not self.explain(
+            tmp_path,
+            (1.0, "request_refused", {"request": "r1", "reason": "full"}),
+            (1.1, "request_refused", {"request": "r2", "reason": "quota"}),
+            (1.2, "attempt_failed", {"request": "r1", "reason": "quota"}),
+        )
