Endpoints' load reports: pace of estimates, slots used by others

Owners counted only their own requests and took the service times of a machine whose pace changes many times a second as they were measured, so that the endpoints rejected requests whose owners counted exactly.

The load header of responses and health checks is decoded in one place and kept for each owned endpoint and process. Service times are learned for an undisturbed machine, estimates are multiplied by the predicted pace, and requests of others reduce the slots that the queue assumes. Reports without a pace are counted but not used.

--- a/carawayvale/gateway/endpoint_checks.py
+++ b/carawayvale/gateway/endpoint_checks.py
@@ -136,6 +136,8 @@
     notice = owned.context.notices.record_check(owned.endpoint, head)
     if notice.pause_s:
         owned.pause(notice.pause_s, read_boot_clock())
+    if notice.load is not None:
+        owned.record_load(notice.load, len(owned.in_flight))
 
 
 def parse_cold(value: bytes | None) -> float:
--- a/carawayvale/gateway/endpoint_exchange.py
+++ b/carawayvale/gateway/endpoint_exchange.py
@@ -72,6 +72,7 @@
         self.endpoint = endpoint
         self.owner_request = owner_request
         self.queued = queued
+        self.others_in_flight = 0
 
     @property
     def is_current(self) -> bool:
@@ -110,6 +111,7 @@
             )
         finally:
             owned.in_flight.pop(self.queued, None)
+            self.others_in_flight = len(owned.in_flight)
 
     async def _report_end(self, result: UpstreamResult) -> UpstreamResult:
         """Report a crash during the request, or that it was answered.
@@ -127,8 +129,16 @@
     def _record_notice(self, result: UpstreamResult) -> None:
         """Apply what the endpoint says of itself in its response."""
         notice = self.context.notices.record(self.endpoint, result)
-        if notice.pause_s and self.is_current:
+        if not self.is_current:
+            return
+        if notice.pause_s:
             self.owned.pause(notice.pause_s, read_boot_clock())
+        if notice.load is not None:
+            # The endpoint may still count the request that it answers.
+            answered = result.outcome is UpstreamOutcome.ANSWERED
+            self.owned.record_load(
+                notice.load, self.others_in_flight + answered
+            )
 
     def _record_signal(self, result: UpstreamResult) -> None:
         """Update the endpoint's health from the result."""
--- a/carawayvale/gateway/endpoint_notices.py
+++ b/carawayvale/gateway/endpoint_notices.py
@@ -13,6 +13,8 @@
 from carawayvale.gateway.upstream import UpstreamResult
 from carawayvale.links.http import ResponseHead
 from carawayvale.steering.departures import Departures
+from carawayvale.steering.load_reports import LoadReport
+from carawayvale.steering.load_reports import parse_load
 from carawayvale.steering.stated_limits import StatedLimits
 
 HTTP_UNAVAILABLE = 503
@@ -42,12 +44,16 @@
     :param leaving: whether the endpoint is leaving.
     :param pause_s: seconds for which the endpoint wants nothing from the
         instance that it refused; 0 for no such wish.
+    :param load: its report of its load; None without a valid one.
+    :param has_bad_load: whether its report of its load is malformed.
     """
 
     rate_limit: float | None = None
     is_complete: bool = False
     leaving: bool = False
     pause_s: float = 0.0
+    load: LoadReport | None = None
+    has_bad_load: bool = False
 
 
 def parse_decimal(value: bytes | None) -> float | None:
@@ -100,8 +106,15 @@
     pause_s = 0.0
     if head.status == HTTP_UNAVAILABLE:
         pause_s = parse_decimal(head.find(header_names.pause)) or 0.0
+    load_value = head.find(header_names.load)
+    load = None if load_value is None else parse_load(load_value)
     return EndpointNotice(
-        rate_limit, is_complete, leaving, min(MAX_PAUSE_S, pause_s)
+        rate_limit,
+        is_complete,
+        leaving,
+        min(MAX_PAUSE_S, pause_s),
+        load,
+        load_value is not None and load is None,
     )
 
 
@@ -154,14 +167,18 @@
     def _apply(
         self, endpoint: EndpointRecord, notice: EndpointNotice, owner: str
     ) -> EndpointNotice:
-        """Apply a notice, but for the pause.
+        """Apply a notice, but for the pause and the load.
 
-        A pause concerns only the instance that was refused, so it is left to
-        the caller.
+        A pause concerns only the instance that was refused, and the load
+        only the owner, so they are left to the caller.
 
         :returns: the notice.
         """
         self._record_limit(endpoint, notice, owner)
+        if not owner:
+            self.observer.count_load_report(
+                notice.load is not None, notice.has_bad_load
+            )
         if notice.leaving and self.departures.record(endpoint):
             self.observer.record_departure(endpoint.name, owner)
             self.handle_departure()
--- a/carawayvale/gateway/observer.py
+++ b/carawayvale/gateway/observer.py
@@ -206,6 +206,15 @@
             source=source or "self",
         )
 
+    def count_load_report(self, is_valid: bool, has_bad_load: bool) -> None:
+        """Count the report of an endpoint's load, or that there is none.
+
+        :param is_valid: whether a response has a valid report.
+        :param has_bad_load: whether its report is malformed or absurd.
+        """
+        kind = "malformed" if has_bad_load else "missing"
+        self.metrics.count("load_reports", "valid" if is_valid else kind)
+
     def record_pause(
         self, service: str, endpoint: str, pause_s: float
     ) -> None:
--- a/carawayvale/gateway/owned_endpoint.py
+++ b/carawayvale/gateway/owned_endpoint.py
@@ -24,6 +24,8 @@
 from carawayvale.steering.admission import EndpointQueue
 from carawayvale.steering.admission import QueuedRequest
 from carawayvale.steering.health import EndpointHealth
+from carawayvale.steering.load_reports import EndpointLoad
+from carawayvale.steering.load_reports import LoadReport
 from carawayvale.steering.rates import ColdRateLimit
 from carawayvale.steering.repeats import RepeatPolicy
 from carawayvale.steering.stated_limits import StatedLimit
@@ -109,6 +111,7 @@
             self.upstream = self._make_upstream(endpoint)
             self.health = EndpointHealth()
             self.queue.service_times.objects.clear()
+            self.queue.endpoint_load = EndpointLoad()
             self.moved_until_s = self.paused_until_s = 0.0
         self.queue.slots = endpoint.slots
         self._extend_cold_until(endpoint.cold_until_s, now_s)
@@ -355,6 +358,15 @@
             self.service.name, self.endpoint.name, pause_s
         )
 
+    def record_load(self, report: LoadReport, own: int) -> None:
+        """Record a report of the endpoint's load.
+
+        :param report: the report.
+        :param own: number of requests that this instance had there when the
+            report arrived.
+        """
+        self.queue.endpoint_load.record(report, own, read_boot_clock())
+
     def record_ejection(self, cause: str) -> None:
         """Count and log that the endpoint was ejected.
 
--- a/carawayvale/gateway/tests/test_endpoint_notices.py
+++ b/carawayvale/gateway/tests/test_endpoint_notices.py
@@ -240,3 +240,53 @@
     def test_retry_after_of_a_success_is_no_pause(self):
         result = make_result((b"retry-after", b"5"))
         assert decode_notice(result, HEADER_NAMES).pause_s == 0.0
+
+
+class TestLoad:
+    def test_the_owner_keeps_the_load_that_responses_report(self):
+        async def scenario(fleet):
+            endpoint = fleet.endpoints["i-1"]
+            endpoint.pace, endpoint.running = 250, 3
+            daemon = fleet.daemons[0]
+            for _ in range(MAX_CALLS):
+                assert (await fleet.call(daemon)).head.status == 200
+            queue = daemon.node.owned["i-1"].queue
+            assert queue.endpoint_load.report.pace == 2.5
+            assert queue.count_slots(read_boot_clock()) < queue.slots
+            counters = daemon.node.observer.metrics.counters
+            assert counters["load_reports", "valid"]
+
+        run_scenario(scenario)
+
+    def test_own_requests_take_no_slots_twice(self):
+        """The report includes the requests of the owner."""
+
+        async def scenario(fleet):
+            endpoint = fleet.endpoints["i-1"]
+            endpoint.pace, endpoint.service_time_s = 100, 0.05
+            daemon = fleet.daemons[0]
+            for _ in range(3):
+                async with curio.TaskGroup() as group:
+                    for _ in range(MAX_CALLS):
+                        await group.spawn(fleet.call, daemon)
+            queue = daemon.node.owned["i-1"].queue
+            assert queue.endpoint_load.has_pace
+            assert queue.endpoint_load.others == 0
+
+        run_scenario(scenario)
+
+    def test_malformed_and_missing_reports_are_counted_and_ignored(self):
+        async def scenario(fleet):
+            daemon = fleet.daemons[0]
+            for load in ("1,2", "", "8,8,5"):
+                fleet.endpoints["i-1"].load = load
+                for _ in range(MAX_CALLS):
+                    assert (await fleet.call(daemon)).head.status == 200
+            queue = daemon.node.owned["i-1"].queue
+            assert not queue.endpoint_load.has_pace
+            assert queue.count_slots(read_boot_clock()) == queue.slots
+            counters = daemon.node.observer.metrics.counters
+            for kind in ("malformed", "missing", "valid"):
+                assert counters["load_reports", kind]
+
+        run_scenario(scenario)
--- a/carawayvale/gateway/tests/test_owned_endpoint.py
+++ b/carawayvale/gateway/tests/test_owned_endpoint.py
@@ -13,6 +13,7 @@
 from carawayvale.gateway.observer import RequestObserver
 from carawayvale.gateway.owned_endpoint import OwnedEndpoint
 from carawayvale.platform.headers import HEADER_NAMES
+from carawayvale.steering.load_reports import LoadReport
 
 SERVICE = ServiceRecord("grids", cold_s=3.0, cold_rate=12.0)
 ENDPOINT = EndpointRecord(
@@ -66,3 +67,14 @@
         owned.update(cold, SERVICE, 100.0)
         owned.update(replace(cold, received_s=110.0), SERVICE, 110.0)
         assert owned.queue.cold_limit is not None
+
+
+class TestLoad:
+    def test_a_restarted_endpoint_has_reported_nothing(self):
+        """Reports of the process before must not reduce the slots."""
+        owned = make_owned_endpoint(ENDPOINT)
+        owned.record_load(LoadReport(9, 0, 5, 3.0), 0)
+        assert owned.queue.endpoint_load.has_pace
+        restarted = replace(ENDPOINT, started_ms=ENDPOINT.started_ms + 1)
+        owned.update(restarted, SERVICE, 100.0)
+        assert not owned.queue.endpoint_load.has_pace
--- a/carawayvale/platform/tests/fakes.py
+++ b/carawayvale/platform/tests/fakes.py
@@ -228,6 +228,12 @@
     :param leaving: whether responses tell that the endpoint is leaving.
     :param retry_after: text of the Retry-After of refusals; empty for none.
     :param refused_s: times at which requests were refused.
+    :param load: text of the load report in responses; empty for a report of
+        the requests in progress, if ``pace`` is set, and else for none.
+    :param pace: reported pace of the machine; 0 for none.
+    :param slots: reported number of slots.
+    :param running: number of requests in progress, the reported ones of
+        others included.
     """
 
     name: str
@@ -242,6 +248,10 @@
     leaving: bool = False
     retry_after: str = ""
     refused_s: list[float] = field(default_factory=list)
+    load: str = ""
+    pace: int = 0
+    slots: int = 5
+    running: int = 0
 
     async def handle(self, request: Request) -> Response:
         """Return the response to one request."""
@@ -254,17 +264,21 @@
             headers = (
                 (b"x-instance-id", self.name.encode()),
                 (b"x-cold-ms", b"%d" % self.cold_ms),
+                *self._list_loads(),
             )
             return Response(200, headers)
         if self.shed:
             self.shed -= 1
             return self._refuse(request)
         self.runs.append(request)
+        self.running += 1
         try:
             await curio.sleep(self.service_time_s)
         except curio.CancelledError:
             self.cancelled += 1
             raise
+        finally:
+            self.running -= 1
         status = 200
         if self.fail:
             self.fail -= 1
@@ -298,3 +312,12 @@
             yield (b"server-limit", self.rate_limit.encode())
         if self.leaving:
             yield (b"server-leaving", b"1")
+        yield from self._list_loads()
+
+    def _list_loads(self):
+        """List the header with the report of the load, if there is one."""
+        load = self.load
+        if self.pace and not load:
+            load = f"{self.running},0,{self.slots},{self.pace}"
+        if load:
+            yield (b"x-server-load", load.encode())
--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -15,6 +15,11 @@
         "EndpointHealth",
         "HealthSignal",
     ),
+    "load_reports": (
+        "EndpointLoad",
+        "LoadReport",
+        "parse_load",
+    ),
     "organisations": (
         "Identified",
         "intersect_regions",
--- a/carawayvale/steering/admission.py
+++ b/carawayvale/steering/admission.py
@@ -13,6 +13,7 @@
 from enum import IntEnum
 import heapq
 
+from carawayvale.steering.load_reports import EndpointLoad
 from carawayvale.steering.rates import ColdRateLimit
 from carawayvale.steering.rates import WindowCounter
 from carawayvale.steering.service_times import ServiceTimes
@@ -123,6 +124,7 @@
         self.running: set[QueuedRequest] = set()
         self.waiting: list[QueuedRequest] = []
         self.service_times = ServiceTimes()
+        self.endpoint_load = EndpointLoad()
         self.cold_limit: ColdRateLimit | None = None
         self.stated_limit = StatedLimit()
         self.late_starts = WindowCounter(LATE_WINDOW_S)
@@ -137,6 +139,31 @@
         """Whether the rate of the requests is limited."""
         return self.cold_limit is not None or self.stated_limit.is_limited
 
+    def count_slots(self, now_s: float) -> int:
+        """Count the slots that others leave to the owner.
+
+        At least one is left, as the responses report when others are gone.
+
+        :param now_s: the time.
+        :returns: number of requests that the owner may run at once.
+        """
+        others = self.endpoint_load.count_others(now_s)
+        return max(1, self.slots - others) if others else self.slots
+
+    def estimate(self, key: str, now_s: float) -> float:
+        """Estimate the service time of a request at the pace in force.
+
+        :param key: the object; empty for none.
+        :param now_s: the time.
+        :returns: seconds; 0 without any sample.
+        """
+        return self._apply_pace(self.service_times.estimate(key), now_s)
+
+    def _apply_pace(self, undisturbed_s: float, now_s: float) -> float:
+        """Convert a time on an undisturbed machine to the pace in force."""
+        pace = self.endpoint_load.predict_pace(undisturbed_s, now_s)
+        return undisturbed_s * pace
+
     def _find_allowed_start(self, now_s: float, ahead: int) -> float:
         """Find when the rate limits let a request start.
 
@@ -173,7 +200,7 @@
                 return self._enqueue(request, QueueClass.LEARNING)
         if not request.may_be_late:
             return Rejection(
-                finish_s - now_s, self._is_busy(request, finish_s)
+                finish_s - now_s, self._is_busy(request, finish_s, now_s)
             )
         finish_s = self._predict_finish(request, now_s, QueueClass.LATE)
         if not self._admits_late(request, finish_s, now_s):
@@ -196,16 +223,19 @@
     ) -> None:
         """Set whether the object is warm, and the estimated service time."""
         request.is_warm = self.service_times.is_warm(request.key)
-        request.service_time_s = self.service_times.estimate(request.key)
+        request.service_time_s = self.estimate(request.key, now_s)
         request.has_estimate = self.service_times.has_sample(request.key)
         if not request.service_time_s:
             request.service_time_s = INITIAL_SERVICE_FRACTION * max(
                 0.0, request.objective_s - now_s
             )
 
-    def _is_busy(self, request: QueuedRequest, finish_s: float) -> bool:
+    def _is_busy(
+        self, request: QueuedRequest, finish_s: float, now_s: float
+    ) -> bool:
         """Tell whether a request for a warm object would be late as well."""
-        warm_s = self.service_times.warm_s or request.service_time_s
+        warm_s = self._apply_pace(self.service_times.warm_s, now_s)
+        warm_s = warm_s or request.service_time_s
         start_s = finish_s - request.service_time_s
         return (
             start_s + min(warm_s, request.service_time_s) > request.objective_s
@@ -222,7 +252,7 @@
         """
         if finish_s > request.deadline_s:
             return False
-        if self.load < self.slots:
+        if self.load < self.count_slots(now_s):
             return True
         max_wait_s = LATE_WAIT_FRACTION * (
             request.deadline_s - now_s - request.service_time_s
@@ -249,7 +279,12 @@
             max(now_s, other.started_s + other.service_time_s)
             for other in self.running
         ]
-        slots_free_s += [now_s] * (self.slots - len(slots_free_s))
+        slots = self.count_slots(now_s)
+        if len(slots_free_s) > slots:
+            # Others took slots meanwhile; as many requests have to finish
+            # before the next one starts.
+            slots_free_s = sorted(slots_free_s)[-slots:]
+        slots_free_s += [now_s] * (slots - len(slots_free_s))
         heapq.heapify(slots_free_s)
         ahead = 0
         for other in self.waiting:
@@ -275,7 +310,7 @@
         :param now_s: the time.
         :returns: the request, which holds a slot from now on, or None.
         """
-        if len(self.running) >= self.slots or not self.waiting:
+        if not self.waiting or len(self.running) >= self.count_slots(now_s):
             return None
         if self._find_allowed_start(now_s, 0) > now_s:
             return None
@@ -357,9 +392,13 @@
         """
         self.running.discard(request)
         if served:
-            took_s = now_s - request.started_s
+            pace = self.endpoint_load.measure_pace(request.started_s, now_s)
             self.service_times.record(
-                request.key, request.is_warm, took_s, request.reuse_distance
+                request.key,
+                request.is_warm,
+                now_s - request.started_s,
+                request.reuse_distance,
+                pace,
             )
 
     def find_next_start(self, now_s: float) -> float | None:
@@ -372,7 +411,7 @@
         """
         if not self.waiting or not self.is_limited:
             return None
-        if len(self.running) >= self.slots:
+        if len(self.running) >= self.count_slots(now_s):
             return None
         return self._find_allowed_start(now_s, 0)
 
--- a/carawayvale/steering/repeats.py
+++ b/carawayvale/steering/repeats.py
@@ -78,13 +78,13 @@
     """
     if queue.waiting or queue.is_limited:
         return None
-    if len(queue.running) >= queue.slots:
+    if len(queue.running) >= queue.count_slots(now_s):
         return None
     repeat = QueuedRequest(
         first.rank, first.key, first.objective_s, first.deadline_s
     )
     repeat.queued_s = repeat.started_s = now_s
     repeat.is_warm = True
-    repeat.service_time_s = queue.service_times.estimate(first.key)
+    repeat.service_time_s = queue.estimate(first.key, now_s)
     queue.running.add(repeat)
     return repeat
--- a/carawayvale/steering/service_times.py
+++ b/carawayvale/steering/service_times.py
@@ -5,6 +5,9 @@
 number of objects and does not report how many, so its capacity is
 estimated from the service times. Requests that concern no object have a
 mean of their own, as they may take close to no time.
+
+All times are those of an undisturbed machine. Measured times are divided
+by the pace of the machine, and estimates are multiplied by it.
 """
 
 from collections import OrderedDict
@@ -93,7 +96,7 @@
         return now_s - oldest_s > STALE_S
 
     def estimate(self, key: str) -> float:
-        """Estimate the service time of a request.
+        """Estimate the service time of a request on an undisturbed machine.
 
         :param key: the object; empty for none.
         :returns: seconds; 0 without any sample.
@@ -116,7 +119,12 @@
         return (self.warm_s if key in self.objects else self.new_s) > 0
 
     def record(
-        self, key: str, is_warm: bool, took_s: float, reuse_distance: int = 0
+        self,
+        key: str,
+        is_warm: bool,
+        took_s: float,
+        reuse_distance: int = 0,
+        pace: float = 1.0,
     ) -> None:
         """Record a measured service time.
 
@@ -131,7 +139,9 @@
         :param is_warm: whether the object was expected to be warm.
         :param took_s: seconds.
         :param reuse_distance: see :meth:`record_use`.
+        :param pace: mean pace of the machine during the run.
         """
+        took_s /= pace
         if not key:
             self.no_object_s = _update_mean(self.no_object_s, took_s)
             return
