First attempts skip endpoints whose expected wait does not fit

An entry asked up to four owners of its region one after the other while their endpoints had no room for the request within its objective.

Without reports the order is unchanged. Results drop internal headers that an endpoint sends, which could be taken for the owner's.

Tests of the decision, the messages and fleets of two instances pass; the load of a whole deployment is not measured here.

--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -194,7 +194,11 @@
         if owned is None:
             return UpstreamResult(UpstreamOutcome.UNUSABLE)
         limited = self.node.limit_to_stop(received.owner_request)
-        return await owned.serve(limited)
+        result = await owned.serve(limited)
+        expected = owned.expect_wait(limited.rank)
+        if expected is None:
+            return result
+        return replace(result, expected_wait=expected)
 
     def _echo_id(
         self, request: Request, result: UpstreamResult
@@ -241,6 +245,13 @@
         process,
     )
     node.notices.record(endpoint, result, owner)
+    if result.expected_wait is not None:
+        node.expected_waits.record(
+            endpoint.name,
+            owner_request.rank,
+            result.expected_wait,
+            read_boot_clock(),
+        )
     return result
 
 
--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -25,6 +25,7 @@
 from carawayvale.links.membership import Membership
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links.messages import MemberState
+from carawayvale.steering.expected_waits import ExpectedWaits
 from carawayvale.steering.full_endpoints import FullEndpoints
 from carawayvale.steering.organisations import KeyTable
 from carawayvale.steering.placement import group_by_region
@@ -73,6 +74,7 @@
         self.spills: dict[tuple[str, bool], SpillPolicy] = {}
         self.shift_limit = ShiftLimit(settings.bounds.max_shift)
         self.full_endpoints = FullEndpoints()
+        self.expected_waits = ExpectedWaits()
         self.forwards = ForwardTable()
         self.stop: PlannedStop | None = None
         self.reachability = Reachability()
@@ -146,6 +148,7 @@
         self.owners.set_endpoints(catalogue.endpoints)
         for name in old.endpoints.keys() - catalogue.endpoints.keys():
             self.notices.forget_limit(name)
+            self.expected_waits.forget(name)
         self._update_owned(now_s)
 
     def _group_usable_endpoints(self) -> None:
--- a/carawayvale/gateway/observer.py
+++ b/carawayvale/gateway/observer.py
@@ -236,6 +236,13 @@
         """
         self.metrics.count("attempts", f"{rank}/{outcome}")
 
+    def count_skipped(self, rank: int) -> None:
+        """Count an endpoint that was not asked because of its expected wait.
+
+        :param rank: rank of the request.
+        """
+        self.metrics.count("endpoints_skipped", str(rank))
+
     def record_run(
         self,
         rank: int,
--- a/carawayvale/gateway/owned_endpoint.py
+++ b/carawayvale/gateway/owned_endpoint.py
@@ -23,6 +23,7 @@
 from carawayvale.gateway.upstream import UpstreamResult
 from carawayvale.steering.admission import EndpointQueue
 from carawayvale.steering.admission import QueuedRequest
+from carawayvale.steering.expected_waits import ExpectedWait
 from carawayvale.steering.health import EndpointHealth
 from carawayvale.steering.load_reports import EndpointLoad
 from carawayvale.steering.load_reports import LoadReport
@@ -367,6 +368,16 @@
         """
         self.queue.endpoint_load.record(report, own, read_boot_clock())
 
+    def expect_wait(self, rank: int) -> ExpectedWait | None:
+        """Expect how long a request would wait for the endpoint.
+
+        :param rank: its rank.
+        :returns: its wait; None if the endpoint reports no pace.
+        """
+        if not self.queue.endpoint_load.has_pace:
+            return None
+        return self.queue.expect_wait(rank, read_boot_clock())
+
     def record_ejection(self, cause: str) -> None:
         """Count and log that the endpoint was ejected.
 
--- a/carawayvale/gateway/owner_messages.py
+++ b/carawayvale/gateway/owner_messages.py
@@ -16,13 +16,19 @@
 from carawayvale.links.http import find_header
 from carawayvale.links.http import Headers
 from carawayvale.links.response_checks import is_valid_status
+from carawayvale.steering.expected_waits import parse_wait
 
 # Each header carries all its fields in a fixed order.
 REQUEST_HEADER = b"caraway-order"
 RESULT_HEADER = b"caraway-result"
 # Milliseconds within which the requests named in the body have to finish.
 LIMIT_HEADER = b"caraway-limit"
-INTERNAL_HEADERS = frozenset({REQUEST_HEADER, RESULT_HEADER, LIMIT_HEADER})
+# What the owner expects of the endpoint. Instances of earlier versions drop
+# it, since the connection header names it.
+LOAD_HEADER = b"caraway-load"
+INTERNAL_HEADERS = frozenset(
+    {REQUEST_HEADER, RESULT_HEADER, LIMIT_HEADER, LOAD_HEADER}
+)
 SEPARATOR = ";"
 
 MS_PER_S = 1000.0
@@ -137,8 +143,12 @@
     )
     value = SEPARATOR.join(map(str, fields)).encode("ascii")
     # The endpoint may have sent such headers too.
-    headers = strip_internal_headers(result.headers)
-    return Response(HTTP_OK, (*headers, (RESULT_HEADER, value)), result.body)
+    kept = strip_internal_headers(result.headers)
+    headers = (*kept, (RESULT_HEADER, value))
+    if result.expected_wait is not None:
+        load = (LOAD_HEADER, result.expected_wait.format())
+        headers = (*headers, load, (b"connection", LOAD_HEADER))
+    return Response(HTTP_OK, headers, result.body)
 
 
 def decode_result(
@@ -176,4 +186,5 @@
         fields[5],
         bool(int(fields[3])),
         bool(int(fields[4])),
+        expected_wait=parse_wait(find_header(headers, LOAD_HEADER)),
     )
--- a/carawayvale/gateway/request_attempts.py
+++ b/carawayvale/gateway/request_attempts.py
@@ -13,6 +13,7 @@
 from carawayvale.gateway.request_context import StopReason
 from carawayvale.gateway.upstream import UpstreamOutcome
 from carawayvale.gateway.upstream import UpstreamResult
+from carawayvale.steering.expected_waits import choose_candidates
 from carawayvale.steering.placement import ObjectPlacement
 from carawayvale.telemetry.logs import log_event
 
@@ -72,7 +73,7 @@
         """
         placement = self._place_object(context)
         groups = [
-            lambda: placement.local[:MAX_LOCAL_ENDPOINTS],
+            lambda: self._choose_local(context, placement),
             lambda: placement.first_remote[:MAX_REMOTE_ENDPOINTS],
         ]
         if self.node.shift_limit.requires_remote(read_boot_clock()):
@@ -111,6 +112,48 @@
             by_region, f"{context.service}|{key}", node.settings.region
         )
 
+    def _choose_local(
+        self, context: RequestContext, placement: ObjectPlacement
+    ) -> list[EndpointRecord]:
+        """Choose the endpoints of the own region that are considered.
+
+        Those at which the request is expected to miss its objective are
+        skipped when it is their turn, unless the expectation has ended.
+        """
+        now_s = read_boot_clock()
+        waits, rank = self.node.expected_waits, context.rank
+        objective_s = context.owner_request.objective_s
+        return choose_candidates(
+            placement.local,
+            MAX_LOCAL_ENDPOINTS,
+            lambda name: (
+                waits.find_finish(name, rank, objective_s, now_s) is not None
+            ),
+            lambda name: waits.has_room(name, rank, objective_s, now_s),
+        )
+
+    def _find_late_finish(
+        self, name: str, owner_request: OwnerRequest, now_s: float
+    ) -> tuple[str, float] | None:
+        """Find whether an endpoint is known to serve a request late.
+
+        :returns: what is known, for the log, and the seconds until the
+            request would be complete; None if it may be in time.
+        """
+        if owner_request.may_be_late:
+            return None
+        finish_s = self.node.full_endpoints.find(name, now_s)
+        if finish_s is not None:
+            return "known_full", finish_s
+        rank, objective_s = owner_request.rank, owner_request.objective_s
+        finish_s = self.node.expected_waits.find_finish(
+            name, rank, objective_s, now_s
+        )
+        if finish_s is None:
+            return None
+        self.node.observer.count_skipped(rank)
+        return "expected_late", finish_s
+
     def _order_late_candidates(
         self, context: RequestContext, placement: ObjectPlacement
     ) -> list[EndpointRecord]:
@@ -160,10 +203,10 @@
             if name in context.attempted:
                 continue
             may_warm_up = choices.may_warm_up(region, name)
-            finish_s = node.full_endpoints.find(name, now_s)
-            if finish_s is not None and not owner_request.may_be_late:
-                context.full[name] = finish_s
-                context.attempts.append((name, "known_full"))
+            late = self._find_late_finish(name, owner_request, now_s)
+            if late is not None:
+                knowledge, context.full[name] = late
+                context.attempts.append((name, knowledge))
                 choices.record_busy(region, name)
                 was_full = True
                 continue
--- a/carawayvale/gateway/upstream.py
+++ b/carawayvale/gateway/upstream.py
@@ -17,6 +17,7 @@
 from carawayvale.links.http import Headers
 from carawayvale.links.http import ResponseHead
 from carawayvale.links.http_client import HttpClient
+from carawayvale.steering.expected_waits import ExpectedWait
 
 MS_PER_S = 1000.0
 CONNECT_TIMEOUT_S = 0.5
@@ -100,6 +101,8 @@
     :param busy: for FULL, whether the endpoint would reject any other
         request as well.
     :param disconnected: whether the connection to the endpoint broke.
+    :param expected_wait: what the owner expects of the endpoint; None if the
+        endpoint reports no pace.
     """
 
     outcome: UpstreamOutcome
@@ -111,6 +114,7 @@
     failing: bool = False
     busy: bool = True
     disconnected: bool = False
+    expected_wait: ExpectedWait | None = None
 
     @property
     def is_success(self) -> bool:
--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -10,6 +10,12 @@
         "Rejection",
     ),
     "departures": ("Departures",),
+    "expected_waits": (
+        "choose_candidates",
+        "ExpectedWait",
+        "ExpectedWaits",
+        "parse_wait",
+    ),
     "full_endpoints": ("FullEndpoints",),
     "health": (
         "EndpointHealth",
--- a/carawayvale/steering/admission.py
+++ b/carawayvale/steering/admission.py
@@ -13,6 +13,7 @@
 from enum import IntEnum
 import heapq
 
+from carawayvale.steering.expected_waits import ExpectedWait
 from carawayvale.steering.load_reports import EndpointLoad
 from carawayvale.steering.rates import ColdRateLimit
 from carawayvale.steering.rates import WindowCounter
@@ -275,6 +276,30 @@
         :param queue_class: class in which it would wait.
         :returns: the time.
         """
+        start_s = self._predict_start(request.rank, now_s, queue_class)
+        return start_s + request.service_time_s
+
+    def expect_wait(self, rank: int, now_s: float) -> ExpectedWait:
+        """Expect how long a request in time would wait.
+
+        :param rank: its rank.
+        :param now_s: the time.
+        :returns: its wait, and the load that causes it.
+        """
+        start_s = self._predict_start(rank, now_s, QueueClass.IN_TIME)
+        return ExpectedWait(
+            len(self.running),
+            len(self.waiting),
+            self.count_slots(now_s),
+            start_s - now_s,
+            self._apply_pace(self.service_times.warm_s, now_s),
+            self._apply_pace(self.service_times.new_s, now_s),
+        )
+
+    def _predict_start(
+        self, rank: int, now_s: float, queue_class: QueueClass
+    ) -> float:
+        """Predict when a request would start if it were queued now."""
         slots_free_s = [
             max(now_s, other.started_s + other.service_time_s)
             for other in self.running
@@ -288,9 +313,7 @@
         heapq.heapify(slots_free_s)
         ahead = 0
         for other in self.waiting:
-            is_ahead = (
-                other.queue_class is queue_class and other.rank <= request.rank
-            )
+            is_ahead = other.queue_class is queue_class and other.rank <= rank
             if (
                 other.queue_class < queue_class
                 or is_ahead
@@ -301,8 +324,7 @@
                 heapq.heappush(slots_free_s, start_s + other.service_time_s)
                 ahead += 1
         allowed_s = self._find_allowed_start(now_s, ahead)
-        start_s = max(allowed_s, heapq.heappop(slots_free_s))
-        return start_s + request.service_time_s
+        return max(allowed_s, heapq.heappop(slots_free_s))
 
     def take(self, now_s: float) -> QueuedRequest | None:
         """Take the next request that may start.
