Keys are refused where the configuration is older than revoke

An instance that was cut off from the store and its peers accepted removed keys without limit. Each instance now keeps the beginning of the latest reading of the store whose changes it has, its own or one that a peer reported, and answers requests with a key with 503 and Retry-After once it is older than revoke_s at their arrival. An unknown key gets 503 in place of 401 beyond apply_s, as it may be new. Reports between instances (code 20) are corrected for their time in transit; links count once they are measured. Nothing is sent or refused where revoke_s is infinite. The notices of the change feed have moved to a module of their own.

--- a/carawayvale/commands/request_timeline.py
+++ b/carawayvale/commands/request_timeline.py
@@ -25,6 +25,8 @@
         "configuration_in_force",
         "evacuation",
         "gateway_started",
+        "keyed_requests_accepted",
+        "keyed_requests_refused",
         "lines_left_out",
         "settings_reloaded",
         "stop_requested",
--- a/carawayvale/gateway/change_feed.py
+++ b/carawayvale/gateway/change_feed.py
@@ -20,6 +20,7 @@
 from carawayvale.catalogue.replica import StoredItem
 from carawayvale.catalogue.replica import StoreReplica
 from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.age_reports import AgeReports
 from carawayvale.gateway.feed_peers import FeedPeers
 from carawayvale.gateway.feed_updates import classify_update
 from carawayvale.gateway.feed_updates import pack_items
@@ -34,8 +35,10 @@
 from carawayvale.links.peers import PeerTable
 from carawayvale.links.peers import register_message_handler
 from carawayvale.platform.store_client import StoreClient
+from carawayvale.platform.store_client import WATCH_TIMEOUT_MARGIN_S
 from carawayvale.platform.store_responses import HistoryGone
 from carawayvale.platform.store_responses import StoreFailed
+from carawayvale.steering.freshness import Reading
 from carawayvale.telemetry.logs import log_event
 
 # Reports of endpoints change the store several times a second; changes
@@ -51,8 +54,11 @@
 # which the confirmations of an instance that has stopped count.
 TAKEOVER_STEP_S = 3.0
 
-# Longest time for which a call to the store waits for a change.
+# Longest time for which a call to the store waits for a change, and that
+# time while the configuration is about to become too old. An instance that
+# takes over thus ends the rise of the age with its first call.
 WATCH_WAIT_S = 1.0
+URGENT_WAIT_S = 0.1
 
 # Age of the last confirmation after which the next instance watches the
 # store, and the additional time for each instance after that one.
@@ -71,9 +77,6 @@
 # Peers are told at least this often that the store confirmed the state.
 CONFIRM_INTERVAL_S = 0.5
 
-# Interval of the notices on links that carry no changes.
-NOTICE_INTERVAL_S = 0.5
-
 ApplyItems = Callable[[list[StoredItem], float], Awaitable[list[StoredItem]]]
 
 
@@ -84,14 +87,20 @@
     :param peers: links with other instances.
     :param apply_items: callback for changed items and the time at which
         the store confirmed them; returns the items to disseminate.
+    :param age_reports: receiver of the readings of the store.
     """
 
     def __init__(
-        self, store: StoreClient, peers: PeerTable, apply_items: ApplyItems
+        self,
+        store: StoreClient,
+        peers: PeerTable,
+        apply_items: ApplyItems,
+        age_reports: AgeReports,
     ):
         self.store = store
         self.peers = peers
         self.apply_items = apply_items
+        self.age_reports = age_reports
         self.replica = StoreReplica()
         self.complete = False
         self.confirmed_s = float("-inf")
@@ -116,6 +125,8 @@
             return True
         if now_s < self.hold_until_s:
             return True
+        if self.age_reports.age.needs_own_reading(now_s, position):
+            return True
         return now_s - self.heard_s > STALE_S + STALE_STEP_S * position
 
     def update_watching(self, now_s: float) -> None:
@@ -177,18 +188,24 @@
         start_s = read_boot_clock()
         before = self.replica.revision
         if not self.complete:
-            reading = await self.store.read_all("")
+            items = await self.store.read_all("")
+            revision = items.revision
             changed = self.replica.apply_snapshot(
-                reading.items, reading.revision, reading.revision
+                items.items, revision, revision
             )
-            self._log_ignored(reading.items.values())
+            self._log_ignored(items.items.values())
             self.complete = True
             self.heard_s = read_boot_clock()
         else:
+            urgent = self.age_reports.age.is_urgent(start_s)
             changes = await self.store.watch(
-                "", self.replica.revision, WATCH_WAIT_S
+                "",
+                self.replica.revision,
+                URGENT_WAIT_S if urgent else WATCH_WAIT_S,
+                WATCH_WAIT_S + WATCH_TIMEOUT_MARGIN_S,
             )
-            changed = self.replica.apply(changes.items, changes.revision)
+            revision = changes.revision
+            changed = self.replica.apply(changes.items, revision)
         now_s = read_boot_clock()
         to_publish = await self._apply(changed, now_s)
         if before == 0:
@@ -200,6 +217,7 @@
             to_publish = list(self.replica.collect_since(0))
         if to_publish or now_s - self.published_s >= CONFIRM_INTERVAL_S:
             await self._publish(to_publish)
+        await self.age_reports.record_reading(Reading(revision, start_s))
         pause_s = max(0.0, BATCH_S - (now_s - start_s))
         if self.election.find_position() > 0:
             pause_s += TAKEOVER_PAUSE_S
@@ -251,32 +269,6 @@
             ):
                 await link.post_packed(data)
 
-    async def run_notices(self) -> None:
-        """Send notices of the replica's revision until cancelled.
-
-        A notice tells the revision of one interval ago, which changes
-        that are sent at once have reached everywhere since.
-        """
-        revision, confirmed_s = 0, 0.0
-        while True:
-            await curio.sleep(NOTICE_INTERVAL_S)
-            age_s = max(0.0, read_boot_clock() - confirmed_s)
-            if revision and not self.peers.membership.is_full_mesh:
-                notice = FeedUpdate(revision, revision, age_s, ())
-                await self._send_notice(notice)
-            revision = self.replica.revision if self.complete else 0
-            confirmed_s = self.confirmed_s
-
-    async def _send_notice(self, notice: FeedUpdate) -> None:
-        links = {
-            link.peer.name: link for link in self.peers.list_region_links("")
-        }
-        for name in self.feed_peers.peers.keys() - links.keys():
-            self.feed_peers.forget(name)
-        data = pack_message(notice)
-        for name in self.feed_peers.list_notices(list(links)):
-            await links[name].post_packed(data)
-
     async def _request_from_peers(self) -> None:
         """Request all items from peers if the replica is not complete."""
         if self.complete:
@@ -323,6 +315,8 @@
         if newer:
             self.heard_s = confirmed_s
         await self._apply(changed, self.confirmed_s if gap else confirmed_s)
+        if self.complete:
+            await self.age_reports.advance(self.replica.revision)
         if (changed or newer) and not self.peers.membership.is_full_mesh:
             await self._send_update(update, link.peer.name)
 
--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -11,8 +11,10 @@
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import Clock
 from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.age_reports import AgeReports
 from carawayvale.gateway.body_memory import make_body_memory
 from carawayvale.gateway.change_feed import ChangeFeed
+from carawayvale.gateway.feed_notices import FeedNotices
 from carawayvale.gateway.forwarding import limit_forwards
 from carawayvale.gateway.forwarding import OwnerHandler
 from carawayvale.gateway.gateway_node import GatewayNode
@@ -97,8 +99,13 @@
         )
         self.node.crash_reports.attach(self.peers)
         self.store = StoreClient(settings.store, STORE_TIMEOUT_S)
+        self.age_reports = AgeReports(
+            self.node.configuration_age,
+            self.peers,
+            lambda: self.node.has_organisations,
+        )
         self.change_feed = ChangeFeed(
-            self.store, self.peers, self._apply_items
+            self.store, self.peers, self._apply_items, self.age_reports
         )
         self.registration = Registration(self.store, settings)
         self.reachability_monitor = ReachabilityMonitor(self.node, self.peers)
@@ -151,7 +158,8 @@
         tasks += [
             self.peers.run,
             self.change_feed.run,
-            self.change_feed.run_notices,
+            FeedNotices(self.change_feed).run,
+            self.age_reports.run,
             self.registration.run,
             self.reachability_monitor.run,
             self._tick,
--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -12,6 +12,7 @@
 from carawayvale.catalogue.source import Source
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.configuration_age import ConfigurationAge
 from carawayvale.gateway.crash_reports import CrashReports
 from carawayvale.gateway.endpoint_context import EndpointContext
 from carawayvale.gateway.endpoint_notices import EndpointNotices
@@ -79,6 +80,7 @@
         self.stop: PlannedStop | None = None
         self.reachability = Reachability()
         self.configured_s = read_boot_clock()
+        self.configuration_age = ConfigurationAge(lambda: self.settings.bounds)
         self.members_changed_s = self.configured_s
         self.observer = RequestObserver()
         self.notices = EndpointNotices(
--- a/carawayvale/gateway/page_handlers.py
+++ b/carawayvale/gateway/page_handlers.py
@@ -120,6 +120,10 @@
         metrics = self.node.observer.metrics
         for name, value in self._collect_gauges().items():
             metrics.set_gauge(name, "", value)
+        age = self.node.configuration_age
+        if age.is_limited:
+            age_s = age.find_age(read_boot_clock())
+            metrics.set_gauge("configuration_read_age_s", "", age_s)
         return Response(HTTP_OK, (TEXT_TYPE,), metrics.format_text())
 
     def _collect_gauges(self) -> dict[str, float]:
--- a/carawayvale/gateway/proxy_handler.py
+++ b/carawayvale/gateway/proxy_handler.py
@@ -22,6 +22,7 @@
 from carawayvale.steering.organisations import Identified
 from carawayvale.steering.organisations import intersect_regions
 from carawayvale.steering.organisations import Rejected
+from carawayvale.steering.organisations import RejectionReason
 from carawayvale.steering.routing import choose_weighted_service
 from carawayvale.steering.warm_up import WarmUpChoices
 
@@ -38,6 +39,10 @@
 MAX_RETRY_AFTER_S = 2.0
 NO_CONFIGURATION_RETRY_AFTER_S = 0.3
 
+# Retry-After while the configuration is too old for keys. The store is read
+# about once a second.
+OLD_CONFIGURATION_RETRY_AFTER_S = 1.0
+
 # Rank in metrics and logs of a request whose route is not known.
 UNKNOWN_RANK = -1
 
@@ -106,6 +111,8 @@
         if not request_id:
             return self._make_response(request, HTTP_BAD_REQUEST)
         caller = self._identify_caller(request, route)
+        if self._is_configuration_too_old(request, caller):
+            return self._refuse_old_configuration(request, route, caller)
         if isinstance(caller, Rejected):
             return self._reject_caller(request, route, caller)
         organisation = caller.organisation
@@ -217,6 +224,45 @@
         credentials = request.find_all(self.header_names.credentials)
         return self.node.key_table.identify(credentials)
 
+    def _is_configuration_too_old(
+        self, request: Request, caller: Identified | Rejected
+    ) -> bool:
+        """Tell whether the configuration is too old to judge a key.
+
+        A known key may have been removed, an unknown one may be new. The
+        age at the arrival counts, as the caller sent the request earlier.
+        """
+        age = self.node.configuration_age
+        if isinstance(caller, Rejected):
+            is_unknown = caller.reason is RejectionReason.UNKNOWN_KEY
+            return is_unknown and age.may_lack_key(request.arrived_s)
+        if caller.organisation is None:
+            return False
+        return age.may_have_removed_key(request.arrived_s)
+
+    def _refuse_old_configuration(
+        self,
+        request: Request,
+        route: RouteRecord,
+        caller: Identified | Rejected,
+    ) -> Response:
+        """Refuse a request whose key the configuration cannot judge."""
+        age = self.node.configuration_age
+        age.log_refusal(read_boot_clock(), True)
+        organisation = None
+        if isinstance(caller, Identified):
+            organisation = caller.organisation
+        fields = {
+            "reason": "old_configuration",
+            "route": route.name,
+            "organisation": organisation.name if organisation else "-",
+            "age_s": f"{age.find_age(request.arrived_s):.3f}",
+            "retry_s": OLD_CONFIGURATION_RETRY_AFTER_S,
+        }
+        rank = find_rank(route, organisation)
+        self._record_refusal(request, rank, fields)
+        return self._refuse(request, OLD_CONFIGURATION_RETRY_AFTER_S)
+
     def _reject_caller(
         self, request: Request, route: RouteRecord, rejected: Rejected
     ) -> Response:
--- a/carawayvale/gateway/tests/fleet.py
+++ b/carawayvale/gateway/tests/fleet.py
@@ -9,6 +9,7 @@
 
 from carawayvale.contracts.address import Address
 from carawayvale.gateway.daemon import GatewayDaemon
+from carawayvale.gateway.settings import Bounds
 from carawayvale.gateway.settings import GatewaySettings
 from carawayvale.links.connections import ConnectionPool
 from carawayvale.links.connections import OutgoingCall
@@ -48,7 +49,7 @@
     )
 
 
-def make_settings(name, domain, store) -> GatewaySettings:
+def make_settings(name, domain, store, bounds=Bounds()) -> GatewaySettings:
     """Make the settings of one instance."""
     host = make_host()
     ports = {key: Address(host, port) for key, port in PORTS.items()}
@@ -60,6 +61,7 @@
         internal=Address(host, INTERNAL_PORT),
         metrics=Address(host, METRICS_PORT),
         store=store,
+        bounds=bounds,
         **ports,
     )
 
@@ -67,6 +69,8 @@
 class GatewayFleet:
     """The store, the endpoints and the instances of one test."""
 
+    bounds = Bounds()
+
     def __init__(self):
         self.store = FakeStore()
         self.endpoints: dict[str, FakeEndpoint] = {}
@@ -107,7 +111,7 @@
 
     async def add_instance(self, name, domain="zrh-a"):
         """Start an instance on its own loopback address."""
-        settings = make_settings(name, domain, self.store_address)
+        settings = make_settings(name, domain, self.store_address, self.bounds)
         source = await self.make_source(settings)
         daemon = GatewayDaemon(settings, HEADER_NAMES, source, b"test")
         self.daemons.append(daemon)
--- a/carawayvale/gateway/tests/test_takeover.py
+++ b/carawayvale/gateway/tests/test_takeover.py
@@ -7,6 +7,8 @@
 from carawayvale.catalogue.builder import STORE_OUTAGE_S
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.change_feed import ChangeFeed
+from carawayvale.gateway.configuration_age import ConfigurationAge
+from carawayvale.gateway.settings import Bounds
 from carawayvale.gateway.tests.test_fleet import run_scenario
 from carawayvale.platform.store_responses import StoreFailed
 
@@ -49,7 +51,13 @@
 
 def make_feed(position, heard_s):
     """Make the feed of an instance with a position among the watchers."""
-    feed = ChangeFeed(None, SimpleNamespace(membership=None), None)
+    age = ConfigurationAge(Bounds)
+    feed = ChangeFeed(
+        None,
+        SimpleNamespace(membership=None),
+        None,
+        SimpleNamespace(age=age),
+    )
     feed.election = SimpleNamespace(find_position=lambda: position)
     feed.complete = True
     feed.heard_s = heard_s
--- a/carawayvale/links/__init__.py
+++ b/carawayvale/links/__init__.py
@@ -4,6 +4,7 @@
 from carawayvale.exports import make_getattr
 
 MODULES = {
+    "age_messages": ("AgeReport",),
     "connections": (
         "ConnectionPool",
         "ConnectionPools",
--- a/carawayvale/links/link_sessions.py
+++ b/carawayvale/links/link_sessions.py
@@ -77,6 +77,8 @@
     await link.post(Members(tuple(table.membership.records.values())))
     if table.crash_reports is not None:
         await table.crash_reports.greet(link)
+    if table.age_reports is not None:
+        await table.age_reports.greet(link)
     await table.update_neighbours()
     closed = False
     try:
--- a/carawayvale/links/peers.py
+++ b/carawayvale/links/peers.py
@@ -127,6 +127,8 @@
     :param change_feed: receiver of store changes from peers, or
         None.
     :param crash_reports: receiver of reports about crashes, or None.
+    :param age_reports: receiver of reports about the age of the
+        configuration, or None.
     """
 
     key: bytes
@@ -150,6 +152,7 @@
     closed_traffic: Traffic = NO_TRAFFIC
     change_feed: Any = None
     crash_reports: Any = None
+    age_reports: Any = None
 
     def __post_init__(self):
         self.random = random.Random(self.membership.own_record.incarnation)
--- a/carawayvale/platform/store_client.py
+++ b/carawayvale/platform/store_client.py
@@ -136,12 +136,20 @@
         more = read_response_field(response.content, "has_more", bool)
         return ItemPage(items, response.read_position(), bool(items) and more)
 
-    async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float,
+        timeout_s: float | None = None,
+    ) -> Changes:
         """Wait for changes of the items with a prefix.
 
         :param prefix: prefix of the keys; empty for all items.
         :param after: packed position after which changes are returned.
         :param wait_s: longest wait in seconds.
+        :param timeout_s: longest wait for a response, if it does not follow
+            from ``wait_s``.
         :returns: the changes; no changes if none came during the wait.
         :raises HistoryGone: if the store no longer keeps the changes, or
             the position belongs to an earlier epoch. The store would
@@ -155,9 +163,9 @@
             f"/kv-watch?prefix={quote(prefix, safe='')}"
             f"&after={position.revision}&wait_ms={int(wait_s * MS_PER_S)}"
         )
-        response = await self._call(
-            "GET", target, None, wait_s + WATCH_TIMEOUT_MARGIN_S
-        )
+        if timeout_s is None:
+            timeout_s = wait_s + WATCH_TIMEOUT_MARGIN_S
+        response = await self._call("GET", target, None, timeout_s)
         if response.status == HTTP_GONE or response.epoch > position.epoch:
             raise HistoryGone(f"changes after {position} are gone")
         if response.status != HTTP_OK:
--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -16,6 +16,11 @@
         "ExpectedWaits",
         "parse_wait",
     ),
+    "freshness": (
+        "Freshness",
+        "LinkDelay",
+        "Reading",
+    ),
     "full_endpoints": ("FullEndpoints",),
     "health": (
         "EndpointHealth",
