Age of the configuration: tests of the metric and of a suspended instance

The gauge and the messages that wait while an instance is suspended were covered by unit tests of their parts only. The tests read the gauge from the metrics port, with and without the bound, and suspend an instance of a simulated region for 20 s.

--- a/carawayvale/gateway/tests/test_age_reports.py
+++ b/carawayvale/gateway/tests/test_age_reports.py
@@ -65,6 +65,7 @@
         self.reports = {}
         self.links = {}
         self.extra_s = {}
+        self.suspended, self.resume_s = "", 0.0
         monkeypatch.setattr(age_reports, "read_boot_clock", self.read_clock)
         names = [f"zurich-{number}" for number in range(size)]
         records = {
@@ -128,16 +129,25 @@
     def deliver_until(self, end_s):
         """Deliver the messages that arrive up to a time."""
         while self.events and self.events[0][0] <= end_s:
-            self.now_s, _, sender, receiver, data = heapq.heappop(self.events)
+            event = heapq.heappop(self.events)
+            if event[3] == self.suspended and event[0] < self.resume_s:
+                resumed = (self.resume_s, *event[1:])
+                heapq.heappush(self.events, resumed)
+                continue
+            self.now_s, _, sender, receiver, data = event
             link = self.links[receiver][sender]
             report = self.reports[receiver]
             self.call(receiver, report.receive(link, decode_message(data)))
         self.now_s = end_s
 
-    def run(self, watcher, duration_s, interval_s):
-        """Let one instance read the store; return the ages meanwhile."""
+    def run(self, watcher, duration_s, interval_s, suspended=""):
+        """Let one instance read the store; return the ages meanwhile.
+
+        Messages to a suspended instance wait until shortly after the end.
+        """
         ages = []
         end_s = self.now_s + duration_s
+        self.suspended, self.resume_s = suspended, end_s + 2 * STEP_S
         while self.now_s < end_s:
             self.deliver_until(self.now_s + STEP_S)
             if self.now_s >= self.began_s + interval_s:
@@ -150,6 +160,8 @@
             if self.now_s - self.tick_s >= TICK_INTERVAL_S:
                 self.tick_s = self.now_s
                 for name, report in self.reports.items():
+                    if name == self.suspended:
+                        continue
                     self.call(name, report._probe_links())
             ages.append(max(self.list_ages()))
         return ages
@@ -210,6 +222,19 @@
         assert region.list_ages()[1] == float("inf")
 
 
+class TestSuspendedInstance:
+    def test_the_wait_of_messages_counts_when_it_resumes(self, monkeypatch):
+        region = SimulatedRegion(2, 7, monkeypatch)
+        region.run("zurich-0", 6.0, CALM_S)
+        region.run("zurich-0", 20.0, CALM_S, suspended="zurich-1")
+        assert region.list_ages()[1] > 20.0
+        # It resumes: all messages that waited are handled at once.
+        region.deliver_until(region.resume_s)
+        region.check_bounds()
+        region.run("zurich-0", 3.0, CALM_S)
+        assert region.list_ages()[1] < 3.0
+
+
 class TestUnlimitedAge:
     def test_nothing_is_sent_or_recorded(self, monkeypatch):
         """Deployments without revocation have no cost."""
--- a/carawayvale/gateway/tests/test_configuration_age.py
+++ b/carawayvale/gateway/tests/test_configuration_age.py
@@ -11,6 +11,7 @@
 from carawayvale.gateway.settings import Bounds
 from carawayvale.gateway.tests.fleet import GatewayFleet
 from carawayvale.gateway.tests.fleet import open_fleet
+from carawayvale.gateway.tests.test_fleet import fetch
 from carawayvale.gateway.tests.test_organisations import authorize
 from carawayvale.gateway.tests.test_organisations import DESK_KEY
 from carawayvale.gateway.tests.test_organisations import list_runs
@@ -33,6 +34,8 @@
 }
 ANONYMOUS_ROUTE = 0
 
+GAUGE = b"carawayvale_configuration_read_age_s{"
+
 # Instances that do not form a full mesh.
 LARGE_REGION = 12
 
@@ -174,6 +177,20 @@
 
         run_limited(scenario)
 
+    def test_the_age_is_a_metric(self):
+        async def scenario(fleet):
+            response = await fetch(
+                fleet.daemons[0].settings.metrics, "/metrics"
+            )
+            (line,) = [
+                text
+                for text in response.body.splitlines()
+                if text.startswith(GAUGE)
+            ]
+            assert 0.0 <= float(line.split()[-1]) < 3.0
+
+        run_limited(scenario)
+
     def test_a_step_of_the_wall_clock_changes_no_age(self, monkeypatch):
         async def scenario(fleet):
             wall_s = [1e9, 3e9]
@@ -352,6 +369,8 @@
             fleet.store.unresponsive = True
             await curio.sleep(OUTAGE_S)
             for daemon in fleet.daemons:
+                response = await fetch(daemon.settings.metrics, "/metrics")
+                assert GAUGE not in response.body
                 assert not daemon.age_reports.links
                 assert daemon.node.configuration_age.freshness.latest is (
                     NO_READING
