Requests that the own region rejects start in another region

A region with 16 of 160 endpoints for a third of the demand rejected most requests only after four of its owners were asked, and filled its queues up to the objective, so that many of the requests it took were late.

Entries measure, per service and region, the share of requests that is accepted within the objective, and send a part of the requests to other regions first, as far as these accept more. Objects are chosen by hash. The shift limit applies unchanged. Only for services whose endpoints report a pace.

--- a/carawayvale/gateway/endpoint_notices.py
+++ b/carawayvale/gateway/endpoint_notices.py
@@ -27,6 +27,9 @@
     {UpstreamOutcome.ANSWERED, UpstreamOutcome.NOT_RUN}
 )
 
+# A service whose endpoints reported no pace for this long reports none.
+PACE_HOLD_S = 30.0
+
 # Value of the header that marks the responses of a leaving endpoint.
 LEAVING = b"1"
 
@@ -137,6 +140,18 @@
         self.handle_departure = handle_departure
         self.limits = StatedLimits()
         self.departures = Departures()
+        self.paced_s: dict[str, float] = {}
+
+    def reports_pace(self, service: str, now_s: float) -> bool:
+        """Tell whether endpoints of a service report their machines' pace.
+
+        :param service: name of the service.
+        :param now_s: the time.
+        :returns: whether one of them did lately, to this instance or in a
+            response that an owner passed on.
+        """
+        paced_s = self.paced_s.get(service)
+        return paced_s is not None and now_s - paced_s < PACE_HOLD_S
 
     def record(
         self, endpoint: EndpointRecord, result: UpstreamResult, owner: str = ""
@@ -175,6 +190,8 @@
         :returns: the notice.
         """
         self._record_limit(endpoint, notice, owner)
+        if notice.load is not None and notice.load.pace is not None:
+            self.paced_s[endpoint.service] = read_boot_clock()
         if not owner:
             self.observer.count_load_report(
                 notice.load is not None, notice.has_bad_load
--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -34,6 +34,7 @@
 from carawayvale.steering.rates import FleetRetryBudget
 from carawayvale.steering.rates import ShiftLimit
 from carawayvale.steering.reachability import Reachability
+from carawayvale.steering.region_shares import RegionShares
 from carawayvale.steering.routing import RouteTable
 from carawayvale.steering.spill import SpillPolicy
 from carawayvale.telemetry.logs import log_event
@@ -74,6 +75,7 @@
         self.retry_budgets: dict[str, FleetRetryBudget] = {}
         self.spills: dict[tuple[str, bool], SpillPolicy] = {}
         self.shift_limit = ShiftLimit(settings.bounds.max_shift)
+        self.region_shares: dict[str, RegionShares] = {}
         self.full_endpoints = FullEndpoints()
         self.expected_waits = ExpectedWaits()
         self.forwards = ForwardTable()
@@ -323,6 +325,23 @@
             self.retry_budgets[service] = budget
         return budget
 
+    def find_region_shares(
+        self, service: str, now_s: float
+    ) -> RegionShares | None:
+        """Find or create the shares that regions accept of a service.
+
+        :param service: name of the service.
+        :param now_s: the time.
+        :returns: the shares; None if its endpoints report no pace.
+        """
+        if not self.notices.reports_pace(service, now_s):
+            return None
+        shares = self.region_shares.get(service)
+        if shares is None:
+            shares = RegionShares(self.settings.region)
+            self.region_shares[service] = shares
+        return shares
+
     def find_spill(self, service: str, late: bool) -> SpillPolicy:
         """Find or create the policy for tries after a full endpoint.
 
--- a/carawayvale/gateway/observer.py
+++ b/carawayvale/gateway/observer.py
@@ -236,6 +236,13 @@
         """
         self.metrics.count("attempts", f"{rank}/{outcome}")
 
+    def count_remote_start(self, service: str) -> None:
+        """Count a request that is sent to another region first.
+
+        :param service: name of the service.
+        """
+        self.metrics.count("remote_starts", service)
+
     def count_skipped(self, rank: int) -> None:
         """Count an endpoint that was not asked because of its expected wait.
 
--- a/carawayvale/gateway/page_handlers.py
+++ b/carawayvale/gateway/page_handlers.py
@@ -124,6 +124,8 @@
         if age.is_limited:
             age_s = age.find_age(read_boot_clock())
             metrics.set_gauge("configuration_read_age_s", "", age_s)
+        for service, shares in self.node.region_shares.items():
+            metrics.set_gauge("remote_part", service, shares.remote_part)
         return Response(HTTP_OK, (TEXT_TYPE,), metrics.format_text())
 
     def _collect_gauges(self) -> dict[str, float]:
--- a/carawayvale/gateway/request_attempts.py
+++ b/carawayvale/gateway/request_attempts.py
@@ -1,5 +1,6 @@
 """Attempt a request at endpoints in order until one responds."""
 
+from collections.abc import Callable
 from dataclasses import replace
 
 from carawayvale.catalogue.records import EndpointRecord
@@ -72,16 +73,8 @@
         :returns: the result for the caller, or None.
         """
         placement = self._place_object(context)
-        groups = [
-            lambda: self._choose_local(context, placement),
-            lambda: placement.first_remote[:MAX_REMOTE_ENDPOINTS],
-        ]
-        if self.node.shift_limit.requires_remote(read_boot_clock()):
-            groups.reverse()
-        for list_group in groups:
-            result = await self._attempt_endpoints(
-                context, list_group(), context.owner_request
-            )
+        for list_group in self._order_groups(context, placement):
+            result = await self._attempt_in_time(context, list_group())
             if result is not None or context.no_more_attempts:
                 return result
         with_failing = replace(context.owner_request, may_use_failing=True)
@@ -112,6 +105,71 @@
             by_region, f"{context.service}|{key}", node.settings.region
         )
 
+    def _order_groups(
+        self, context: RequestContext, placement: ObjectPlacement
+    ) -> list[Callable[[], list[EndpointRecord]]]:
+        """Order the groups of endpoints that may respond in time.
+
+        A request that the own region is likely to reject goes to another
+        region first.
+        """
+        now_s = read_boot_clock()
+        groups = [
+            lambda: self._choose_local(context, placement),
+            lambda: placement.first_remote[:MAX_REMOTE_ENDPOINTS],
+        ]
+        shares = self.node.find_region_shares(context.service, now_s)
+        context.region_shares = shares
+        if self.node.shift_limit.requires_remote(now_s):
+            groups.reverse()
+        elif shares is not None:
+            regions = [r for r in placement.by_region if r != shares.region]
+            if shares.starts_remote(placement.key, regions, now_s):
+                self.node.observer.count_remote_start(context.service)
+                preferred = shares.list_preferred(regions, now_s)
+                remote = sorted(
+                    placement.first_remote,
+                    key=lambda endpoint: endpoint.region not in preferred,
+                )[:MAX_REMOTE_ENDPOINTS]
+                return [lambda: remote[:1], groups[0], lambda: remote[1:]]
+        return groups
+
+    async def _attempt_in_time(
+        self, context: RequestContext, endpoints: list[EndpointRecord]
+    ) -> UpstreamResult | None:
+        """Attempt a group of endpoints for a response within the objective.
+
+        The regions' shares of accepted requests are measured, where they
+        are used.
+
+        :returns: the result for the caller, or None.
+        """
+        shares, region = context.region_shares, self.node.settings.region
+        is_local = all(e.region == region for e in endpoints)
+        if shares is None or not is_local:
+            return await self._attempt_endpoints(
+                context, endpoints, context.owner_request
+            )
+        before = len(context.attempted)
+        shares.record_asked(region, read_boot_clock())
+        result = await self._attempt_endpoints(
+            context, endpoints, context.owner_request
+        )
+        if len(context.attempted) == before and not context.no_more_attempts:
+            shares.record_rejected(region, read_boot_clock())
+        return result
+
+    def _record_remote(
+        self, context: RequestContext, region: str, accepted: bool
+    ) -> None:
+        """Record whether an endpoint of another region took a request."""
+        shares, now_s = context.region_shares, read_boot_clock()
+        if shares is None or region == shares.region:
+            return
+        shares.record_asked(region, now_s)
+        if not accepted:
+            shares.record_rejected(region, now_s)
+
     def _choose_local(
         self, context: RequestContext, placement: ObjectPlacement
     ) -> list[EndpointRecord]:
@@ -208,6 +266,7 @@
                 knowledge, context.full[name] = late
                 context.attempts.append((name, knowledge))
                 choices.record_busy(region, name)
+                self._record_remote(context, region, False)
                 was_full = True
                 continue
             if was_full and not spill.allows_try(now_s):
@@ -220,6 +279,8 @@
             self._record_attempt(context, name, result)
             if was_full:
                 spill.record(_is_accepted(result))
+            if not owner_request.may_be_late:
+                self._record_remote(context, region, _is_accepted(result))
             if result is None or result.outcome in UNAVAILABLE_OUTCOMES:
                 choices.record_unavailable(region, name)
                 continue
--- a/carawayvale/gateway/request_context.py
+++ b/carawayvale/gateway/request_context.py
@@ -11,6 +11,7 @@
 from carawayvale.gateway.observer import format_ms
 from carawayvale.gateway.owner_request import OwnerRequest
 from carawayvale.gateway.upstream import UpstreamResult
+from carawayvale.steering.region_shares import RegionShares
 from carawayvale.steering.warm_up import WarmUpChoices
 
 
@@ -67,6 +68,8 @@
     :param lost_owners: owners to which the connection broke.
     :param fallback: a server error response, returned if no later
         attempt succeeds.
+    :param region_shares: shares of requests that the regions accept; None
+        if the endpoints of the service report no pace.
     """
 
     request: Request
@@ -87,6 +90,7 @@
     current: str = ""
     lost_owners: list[LostOwner] = field(default_factory=list)
     fallback: UpstreamResult | None = None
+    region_shares: RegionShares | None = None
 
     @property
     def rank(self) -> int:
--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -65,6 +65,7 @@
         "Reachability",
         "ReachabilityChange",
     ),
+    "region_shares": ("RegionShares",),
     "repeats": (
         "RepeatPolicy",
         "start_repeat",
