An overload of all regions is shared evenly

Where endpoints report a pace and other regions may serve, the own region has to complete requests 15 ms before their objective, and what it rejected is not offered to a region that accepts a smaller share.

--- a/carawayvale/gateway/request_attempts.py
+++ b/carawayvale/gateway/request_attempts.py
@@ -16,6 +16,7 @@
 from carawayvale.gateway.upstream import UpstreamResult
 from carawayvale.steering.expected_waits import choose_candidates
 from carawayvale.steering.placement import ObjectPlacement
+from carawayvale.steering.region_shares import LOCAL_MARGIN_S
 from carawayvale.telemetry.logs import log_event
 
 # Maximum numbers of endpoints of the own region, and of other regions,
@@ -73,8 +74,9 @@
         :returns: the result for the caller, or None.
         """
         placement = self._place_object(context)
-        for list_group in self._order_groups(context, placement):
-            result = await self._attempt_in_time(context, list_group())
+        for is_local, list_group in self._order_groups(context, placement):
+            attempt = self._attempt_local if is_local else self._attempt_remote
+            result = await attempt(context, list_group())
             if result is not None or context.no_more_attempts:
                 return result
         with_failing = replace(context.owner_request, may_use_failing=True)
@@ -107,19 +109,25 @@
 
     def _order_groups(
         self, context: RequestContext, placement: ObjectPlacement
-    ) -> list[Callable[[], list[EndpointRecord]]]:
+    ) -> list[tuple[bool, Callable[[], list[EndpointRecord]]]]:
         """Order the groups of endpoints that may respond in time.
 
         A request that the own region is likely to reject goes to another
         region first.
+
+        :returns: for each group whether it is that of the own region, and
+            a function that lists its endpoints.
         """
         now_s = read_boot_clock()
+        local = (True, lambda: self._choose_local(context, placement))
         groups = [
-            lambda: self._choose_local(context, placement),
-            lambda: placement.first_remote[:MAX_REMOTE_ENDPOINTS],
+            local,
+            (False, lambda: placement.first_remote[:MAX_REMOTE_ENDPOINTS]),
         ]
         shares = self.node.find_region_shares(context.service, now_s)
         context.region_shares = shares
+        if shares is not None and len(placement.by_region) > 1:
+            context.local_margin_s = LOCAL_MARGIN_S
         if self.node.shift_limit.requires_remote(now_s):
             groups.reverse()
         elif shares is not None:
@@ -131,34 +139,56 @@
                     placement.first_remote,
                     key=lambda endpoint: endpoint.region not in preferred,
                 )[:MAX_REMOTE_ENDPOINTS]
-                return [lambda: remote[:1], groups[0], lambda: remote[1:]]
+                return [
+                    (False, lambda: remote[:1]),
+                    local,
+                    (False, lambda: remote[1:]),
+                ]
         return groups
 
-    async def _attempt_in_time(
+    async def _attempt_local(
         self, context: RequestContext, endpoints: list[EndpointRecord]
     ) -> UpstreamResult | None:
-        """Attempt a group of endpoints for a response within the objective.
-
-        The regions' shares of accepted requests are measured, where they
-        are used.
+        """Attempt endpoints of the own region within the objective.
 
         :returns: the result for the caller, or None.
         """
-        shares, region = context.region_shares, self.node.settings.region
-        is_local = all(e.region == region for e in endpoints)
-        if shares is None or not is_local:
+        owner_request, shares = context.owner_request, context.region_shares
+        if shares is None:
             return await self._attempt_endpoints(
-                context, endpoints, context.owner_request
+                context, endpoints, owner_request
             )
+        objective_s = owner_request.objective_s - context.local_margin_s
         before = len(context.attempted)
-        shares.record_asked(region, read_boot_clock())
+        shares.record_asked(shares.region, read_boot_clock())
         result = await self._attempt_endpoints(
-            context, endpoints, context.owner_request
+            context, endpoints, replace(owner_request, objective_s=objective_s)
         )
         if len(context.attempted) == before and not context.no_more_attempts:
-            shares.record_rejected(region, read_boot_clock())
+            context.rejected_locally = True
+            shares.record_rejected(shares.region, read_boot_clock())
         return result
 
+    async def _attempt_remote(
+        self, context: RequestContext, endpoints: list[EndpointRecord]
+    ) -> UpstreamResult | None:
+        """Attempt endpoints of other regions within the objective.
+
+        A region that accepts less than the own one does not get what that
+        one rejected.
+
+        :returns: the result for the caller, or None.
+        """
+        shares = context.region_shares
+        if shares is not None and context.rejected_locally:
+            now_s = read_boot_clock()
+            endpoints = [
+                e for e in endpoints if shares.may_accept(e.region, now_s)
+            ]
+        return await self._attempt_endpoints(
+            context, endpoints, context.owner_request
+        )
+
     def _record_remote(
         self, context: RequestContext, region: str, accepted: bool
     ) -> None:
--- a/carawayvale/gateway/request_context.py
+++ b/carawayvale/gateway/request_context.py
@@ -70,6 +70,9 @@
         attempt succeeds.
     :param region_shares: shares of requests that the regions accept; None
         if the endpoints of the service report no pace.
+    :param local_margin_s: seconds before the objective by which the own
+        region has to complete the request.
+    :param rejected_locally: whether the own region rejected the request.
     """
 
     request: Request
@@ -91,6 +94,8 @@
     lost_owners: list[LostOwner] = field(default_factory=list)
     fallback: UpstreamResult | None = None
     region_shares: RegionShares | None = None
+    local_margin_s: float = 0.0
+    rejected_locally: bool = False
 
     @property
     def rank(self) -> int:
--- a/carawayvale/gateway/tests/test_region_shares.py
+++ b/carawayvale/gateway/tests/test_region_shares.py
@@ -57,6 +57,19 @@
 
         run_scenario(scenario)
 
+    def test_a_single_region_rejects_nothing_that_it_serves(self):
+        """An empty group of remote endpoints is no rejection."""
+
+        async def scenario(fleet):
+            for endpoint in fleet.endpoints.values():
+                endpoint.pace = 100
+            await call_often(fleet, 20)
+            shares = fleet.daemons[0].node.region_shares["grids"]
+            assert shares.accepted["zurich"].asked > 0
+            assert shares.accepted["zurich"].rejected == 0
+
+        run_scenario(scenario)
+
     def test_services_without_a_pace_are_served_as_before(self):
         async def scenario(fleet):
             node = await add_remote_endpoints(fleet, 0)
--- a/carawayvale/steering/region_shares.py
+++ b/carawayvale/steering/region_shares.py
@@ -41,6 +41,13 @@
 # Regions that accept less than the best one by more than this come last.
 ACCEPTED_MARGIN = 0.1
 
+# Requests for the own region have to be complete this much before their
+# objective, if others may serve them too. A request from another region is
+# 20 ms on its way, so in an overload, when the requests of the own region
+# keep the expected waits just below their objective, it was always rejected.
+# With 20 ms, overloaded regions exchanged 7 % of their requests.
+LOCAL_MARGIN_S = 0.015
+
 # Longest time between two updates that counts. With 0.5 s, one rejection
 # after a silence sent a fifth of the next requests to other regions.
 MAX_STEP_S = 0.25
@@ -170,6 +177,17 @@
         self.remote_part += elapsed_s * change
         self.remote_part = min(1.0, max(0.0, self.remote_part))
 
+    def may_accept(self, region: str, now_s: float) -> bool:
+        """Tell whether another region may take what the own one rejected.
+
+        :param region: the other region.
+        :param now_s: the time.
+        :returns: whether it accepts at least the share that the own region
+            accepts.
+        """
+        accepted = self._find(region).measure(now_s)
+        return accepted >= self._find(self.region).measure(now_s)
+
     def list_preferred(self, regions: list[str], now_s: float) -> set[str]:
         """List the regions that accept about as much as the best one.
 
--- a/carawayvale/steering/tests/test_region_shares.py
+++ b/carawayvale/steering/tests/test_region_shares.py
@@ -10,6 +10,7 @@
 import random
 
 from carawayvale.steering.rates import ShiftLimit
+from carawayvale.steering.region_shares import LOCAL_MARGIN_S
 from carawayvale.steering.region_shares import RegionShares
 
 # Slots of 16, 72 and 72 endpoints; runs take half a second.
@@ -91,18 +92,25 @@
         second = int(now_s)
         self.callers[region] += counted
         self.callers_by_second[region, second] += 1
-        lost_s = 0.0
+        lost_s, rejected_locally = 0.0, False
         for place in entry.order(str(self.rng.random()), self.rng, now_s):
             is_remote = place != region
             if is_remote and not entry.limit.allows_remote(now_s):
                 continue
+            if is_remote and rejected_locally and entry.learns:
+                if not entry.shares.may_accept(place, now_s):
+                    continue
             self.tries[region] += counted
             entry.shares.record_asked(place, now_s)
             start_s = now_s + lost_s + REMOTE_ROUND_TRIP_S / 2 * is_remote
             slots = self.free_s[place]
             start_s = max(start_s, slots[0])
             left_s = now_s + OBJECTIVE_S - REMOTE_ROUND_TRIP_S / 2 * is_remote
-            if start_s + SERVICE_S > left_s:
+            margin_s = 0.0
+            if entry.learns and not is_remote:
+                margin_s = LOCAL_MARGIN_S
+            if start_s + SERVICE_S > left_s - margin_s:
+                rejected_locally |= not is_remote
                 entry.shares.record_rejected(place, now_s)
                 lost_s += REMOTE_ROUND_TRIP_S if is_remote else LOCAL_TRIES_S
                 continue
@@ -213,6 +221,12 @@
         assert measure_swap(after) < 0.02
         assert after.find_mean_share() > before.find_mean_share() - 0.01
 
+    def test_an_overload_is_shared_by_the_regions(self):
+        """Requests from other regions must not lose by their way alone."""
+        before, after = play_both(make_even_rate(1.3))
+        assert before.find_share("small") < 0.6 * before.find_mean_share()
+        assert after.find_share("small") > 0.75 * after.find_mean_share()
+
     def test_a_burst_is_answered_within_two_seconds(self):
         """The part reacts; the shift limit bounds what it changes."""
         find_rate = make_burst(0.3, "small", 4.0, 20.0, 60.0)
