Limits of organisations hold over all instances: the quota is whole

`rate_per_s` and `burst` of organisations had no effect. The owner of each quota, chosen by rendezvous hashing, now keeps a token bucket; other instances ask it over the internal port, one call for all requests that wait, and spend the tokens within 0.5 s of the request for them. Beyond the limit callers get 429 with a Retry-After from the bucket; without an answer from three instances 503. Owners that leave or lose a quota hand the bucket over; a new owner without it grants a tenth for one window, or less where the tolerance requires it. A token of a request that reached no endpoint returns. Without organisations or limits no request takes another path.

The state machine test failed, as it has to, on trial copies with a validity of 3 s and with returns counted twice. Tests of steering, platform and of organisations, forwarding, planned stops, fingerprints and fleet passed; 413 tests.

--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -258,6 +258,7 @@
         while True:
             await curio.sleep(TICK_INTERVAL_S)
             self.node.refresh()
+            await self.node.quotas.reconcile()
             if self.node.released:
                 await self.node.reconcile_owned()
             if self.node.reachability.is_partitioned:
@@ -284,6 +285,7 @@
         node.membership.leave()
         await self.peers.update_neighbours()
         await self.peers.send_updates()
+        await node.quotas.reconcile()
         self.caller_server.closing = True
         await curio.spawn(self._limit_requests, stop, daemon=True)
         await curio.sleep(LOOKUP_EXPIRY_S)
--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -21,6 +21,7 @@
 from carawayvale.gateway.owner_messages import encode_owner_request
 from carawayvale.gateway.owner_messages import encode_result
 from carawayvale.gateway.owner_messages import LIMIT_HEADER
+from carawayvale.gateway.owner_messages import QUOTA_HEADER
 from carawayvale.gateway.owner_messages import ReceivedOwnerRequest
 from carawayvale.gateway.owner_request import OwnerRequest
 from carawayvale.gateway.upstream import MAX_RESPONSE_BYTES
@@ -154,6 +155,8 @@
         """
         if request.find(LIMIT_HEADER) is not None:
             return await self._limit_waiting(request)
+        if request.find(QUOTA_HEADER) is not None:
+            return await self.node.quotas.handle(request)
         try:
             received = decode_owner_request(
                 request,
--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -21,6 +21,7 @@
 from carawayvale.gateway.observer import RequestObserver
 from carawayvale.gateway.owned_endpoint import OwnedEndpoint
 from carawayvale.gateway.owner_request import OwnerRequest
+from carawayvale.gateway.quota_calls import QuotaCalls
 from carawayvale.gateway.settings import GatewaySettings
 from carawayvale.links.connections import ConnectionPools
 from carawayvale.links.membership import Membership
@@ -89,6 +90,13 @@
             header_names, self.observer, self._group_usable_endpoints
         )
         self.crash_reports = CrashReports(settings.name, self.observer)
+        self.quotas = QuotaCalls(
+            membership,
+            settings.bounds,
+            self.peer_pools,
+            self.find_internal_address,
+            self.observer,
+        )
         self.endpoint_context = EndpointContext(
             header_names,
             self.observer,
@@ -145,6 +153,7 @@
                 configuration.organisations.values(),
                 self.header_names.credentials_scheme,
             )
+            self.quotas.set_organisations(configuration.organisations)
             self.configured_s = now_s
         self._group_usable_endpoints()
         if old.evacuated != catalogue.evacuated:
--- a/carawayvale/gateway/observer.py
+++ b/carawayvale/gateway/observer.py
@@ -105,6 +105,24 @@
         """
         self.metrics.count("refusals", f"{rank}/{reason}")
 
+    def count_quota(self, kind: str) -> None:
+        """Count a request of an organisation with a limit.
+
+        :param kind: ``own`` or ``granted`` for a token of this instance or
+            of another one, ``returned`` for a token that was not used,
+            ``quota`` or ``quota_unknown`` for a refusal.
+        """
+        self.metrics.count("quota_requests", kind)
+
+    def count_quota_call(self, kind: str) -> None:
+        """Count a call about a quota.
+
+        :param kind: kind of the call that was sent, with the suffix
+            ``_failed`` if it was not answered; ``adopted`` or
+            ``not_adopted`` for a bucket that another instance handed over.
+        """
+        self.metrics.count("quota_calls", kind)
+
     def count_lost_owner(self, state: str, outcome: RequestOutcome) -> None:
         """Count a connection to an owner that broke during an attempt.
 
--- a/carawayvale/gateway/owner_messages.py
+++ b/carawayvale/gateway/owner_messages.py
@@ -26,8 +26,10 @@
 # What the owner expects of the endpoint. Instances of earlier versions drop
 # it, since the connection header names it.
 LOAD_HEADER = b"caraway-load"
+# Kind and numbers of a call about the quota of an organisation.
+QUOTA_HEADER = b"caraway-quota"
 INTERNAL_HEADERS = frozenset(
-    {REQUEST_HEADER, RESULT_HEADER, LIMIT_HEADER, LOAD_HEADER}
+    {REQUEST_HEADER, RESULT_HEADER, LIMIT_HEADER, LOAD_HEADER, QUOTA_HEADER}
 )
 SEPARATOR = ";"
 
--- a/carawayvale/gateway/page_handlers.py
+++ b/carawayvale/gateway/page_handlers.py
@@ -147,6 +147,7 @@
             "endpoints_ejected": sum(o.health.ejected for o in owned),
             "endpoints_limited": len(node.notices.limits.list_limited()),
             "requests_suspected": quarantine.count_suspects(),
+            "quota_buckets": len(node.quotas.owner.buckets),
             "endpoints_partitioned": int(node.reachability.is_partitioned),
             "members": len(node.membership.list_serving()),
             "members_age_s": now_s - node.members_changed_s,
--- a/carawayvale/gateway/proxy_handler.py
+++ b/carawayvale/gateway/proxy_handler.py
@@ -14,6 +14,8 @@
 from carawayvale.gateway.observer import RequestOutcome
 from carawayvale.gateway.owner_messages import strip_internal_headers
 from carawayvale.gateway.owner_request import OwnerRequest
+from carawayvale.gateway.quota_calls import find_limit
+from carawayvale.gateway.quota_calls import QuotaRefusal
 from carawayvale.gateway.request_attempts import RequestAttempts
 from carawayvale.gateway.request_context import RequestContext
 from carawayvale.gateway.request_context import StopReason
@@ -49,10 +51,16 @@
 HTTP_BAD_REQUEST = 400
 HTTP_UNAUTHORIZED = 401
 HTTP_NOT_FOUND = 404
+HTTP_TOO_MANY_REQUESTS = 429
 HTTP_BAD_GATEWAY = 502
 HTTP_UNAVAILABLE = 503
 HTTP_GATEWAY_TIMEOUT = 504
 
+STATUS_BY_QUOTA_REASON = {
+    "quota": HTTP_TOO_MANY_REQUESTS,
+    "quota_unknown": HTTP_UNAVAILABLE,
+}
+
 
 def find_rank(
     route: RouteRecord, organisation: OrganisationRecord | None
@@ -136,6 +144,11 @@
         )
         if context.quarantine_s:
             return self._make_failure_response(context)
+        if find_limit(organisation) is not None:
+            admitted = await self.node.quotas.acquire(organisation)
+            if isinstance(admitted, QuotaRefusal):
+                return self._refuse_quota(context, admitted)
+            context.quota_token = admitted
         try:
             result = await self.attempts.run(context) or context.fallback
         except curio.CancelledError:
@@ -146,6 +159,8 @@
             )
             raise
         if result is None:
+            if context.quota_token is not None and not context.attempted:
+                self.node.quotas.put_back(context.quota_token)
             return self._make_failure_response(context)
         took_s = read_boot_clock() - request.arrived_s
         self.node.observer.record_response_time(context.rank, took_s)
@@ -290,6 +305,28 @@
         self._record_refusal(request, rank, fields)
         return self._refuse(request, MAX_RETRY_AFTER_S)
 
+    def _refuse_quota(
+        self, context: RequestContext, refusal: QuotaRefusal
+    ) -> Response:
+        """Refuse a request beyond the quota of its organisation.
+
+        Without an answer from the owner of the quota, it is not known
+        whether the organisation exceeds its limit.
+        """
+        status = STATUS_BY_QUOTA_REASON[refusal.reason]
+        fields = {
+            "reason": refusal.reason,
+            "status": status,
+            "route": context.route.name,
+            "organisation": context.owner_request.organisation,
+            "quota_owner": self.node.quotas.find_owner(
+                context.owner_request.organisation
+            ),
+            "retry_s": round(refusal.retry_s, 3),
+        }
+        self._record_refusal(context.request, context.rank, fields)
+        return self._refuse(context.request, refusal.retry_s, status)
+
     def _record_refusal(
         self, request: Request, rank: int, fields: dict[str, object]
     ) -> None:
@@ -352,16 +389,22 @@
         self._record_refusal(request, UNKNOWN_RANK, fields)
         return self._refuse(request, retry_s)
 
-    def _refuse(self, request: Request, retry_s: float) -> Response:
+    def _refuse(
+        self,
+        request: Request,
+        retry_s: float,
+        status: int = HTTP_UNAVAILABLE,
+    ) -> Response:
         """Make the response to a request that has not run.
 
         :param request: the request.
         :param retry_s: seconds after which the caller may retry.
+        :param status: HTTP status.
         :returns: the response.
         """
         return self._make_response(
             request,
-            HTTP_UNAVAILABLE,
+            status,
             ((b"retry-after", f"{retry_s:.3f}".encode()),),
         )
 
--- a/carawayvale/gateway/request_context.py
+++ b/carawayvale/gateway/request_context.py
@@ -11,6 +11,7 @@
 from carawayvale.gateway.observer import format_ms
 from carawayvale.gateway.owner_request import OwnerRequest
 from carawayvale.gateway.upstream import UpstreamResult
+from carawayvale.steering.quotas import QuotaToken
 from carawayvale.steering.region_shares import RegionShares
 from carawayvale.steering.warm_up import WarmUpChoices
 
@@ -66,6 +67,8 @@
     :param attempts: endpoint and outcome of each attempt, for the log.
     :param current: name of the endpoint that is being attempted.
     :param lost_owners: owners to which the connection broke.
+    :param quota_token: token of the organisation's quota, which is returned
+        if the request reaches no endpoint; None without a limit.
     :param fallback: a server error response, returned if no later
         attempt succeeds.
     :param region_shares: shares of requests that the regions accept; None
@@ -92,6 +95,7 @@
     attempts: list[tuple[str, str]] = field(default_factory=list)
     current: str = ""
     lost_owners: list[LostOwner] = field(default_factory=list)
+    quota_token: QuotaToken | None = None
     fallback: UpstreamResult | None = None
     region_shares: RegionShares | None = None
     local_margin_s: float = 0.0
