Urgent work is served no less often than less urgent work

In an overload the most urgent kind was served less often where its objective is earlier: late urgent requests were estimated and limited behind less urgent ones that start after them, and waited behind all less urgent work in time.

For endpoints that report a pace, estimate and limit of late requests count what starts before them, and a rank that is behind a less urgent one goes before it, also late, until their shares agree.

--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -53,6 +53,7 @@
         "Quarantine",
         "SuspectRequest",
     ),
+    "rank_balance": ("RankBalance",),
     "rates": (
         "ColdRateLimit",
         "FleetRetryBudget",
--- a/carawayvale/steering/admission.py
+++ b/carawayvale/steering/admission.py
@@ -15,6 +15,7 @@
 
 from carawayvale.steering.expected_waits import ExpectedWait
 from carawayvale.steering.load_reports import EndpointLoad
+from carawayvale.steering.rank_balance import RankBalance
 from carawayvale.steering.rates import ColdRateLimit
 from carawayvale.steering.rates import WindowCounter
 from carawayvale.steering.service_times import ServiceTimes
@@ -126,6 +127,7 @@
         self.waiting: list[QueuedRequest] = []
         self.service_times = ServiceTimes()
         self.endpoint_load = EndpointLoad()
+        self.rank_balance = RankBalance()
         self.cold_limit: ColdRateLimit | None = None
         self.stated_limit = StatedLimit()
         self.late_starts = WindowCounter(LATE_WINDOW_S)
@@ -205,6 +207,7 @@
             )
         finish_s = self._predict_finish(request, now_s, QueueClass.LATE)
         if not self._admits_late(request, finish_s, now_s):
+            self._record_lost(request, now_s)
             return Rejection(finish_s - now_s)
         return self._enqueue(request, QueueClass.LATE)
 
@@ -253,6 +256,9 @@
         """
         if finish_s > request.deadline_s:
             return False
+        favoured = self._find_favoured(now_s)
+        if favoured is not None and request.rank > favoured:
+            return False
         if self.load < self.count_slots(now_s):
             return True
         max_wait_s = LATE_WAIT_FRACTION * (
@@ -260,12 +266,28 @@
         )
         if finish_s - now_s - request.service_time_s > max_wait_s:
             return False
+        by_rank = self.endpoint_load.has_pace
         waiting = sum(
-            other.queue_class is QueueClass.LATE for other in self.waiting
+            other.queue_class is QueueClass.LATE
+            and (not by_rank or other.rank <= request.rank)
+            for other in self.waiting
         )
         rate = self.late_starts.count(now_s) / LATE_WINDOW_S
         return waiting <= rate * max_wait_s
 
+    def _find_favoured(self, now_s: float) -> int | None:
+        """Find the rank that goes before less urgent work, also late.
+
+        Only endpoints that report a pace have one.
+        """
+        if not self.endpoint_load.has_pace:
+            return None
+        return self.rank_balance.find_favoured(now_s)
+
+    def _record_lost(self, request: QueuedRequest, now_s: float) -> None:
+        if self.endpoint_load.has_pace and request.may_be_late:
+            self.rank_balance.record_lost(request.rank, now_s)
+
     def _predict_finish(
         self, request: QueuedRequest, now_s: float, queue_class: QueueClass
     ) -> float:
@@ -312,13 +334,14 @@
         slots_free_s += [now_s] * (slots - len(slots_free_s))
         heapq.heapify(slots_free_s)
         ahead = 0
+        favoured = self._find_favoured(now_s)
+        by_rank = self.endpoint_load.has_pace
+        own = _sort_key(queue_class, rank, now_s, favoured)
         for other in self.waiting:
-            is_ahead = other.queue_class is queue_class and other.rank <= rank
-            if (
-                other.queue_class < queue_class
-                or is_ahead
-                or queue_class is QueueClass.LATE
-            ):
+            key = _sort_key(
+                other.queue_class, other.rank, other.queued_s, favoured
+            )
+            if key <= own or (queue_class is QueueClass.LATE and not by_rank):
                 allowed_s = self._find_allowed_start(now_s, ahead)
                 start_s = max(allowed_s, heapq.heappop(slots_free_s))
                 heapq.heappush(slots_free_s, start_s + other.service_time_s)
@@ -338,11 +361,19 @@
             return None
         for request in self.waiting:
             self._update_class(request, now_s)
-        request = min(self.waiting, key=_sort_key)
+        favoured = self._find_favoured(now_s)
+        request = min(
+            self.waiting,
+            key=lambda r: _sort_key(
+                r.queue_class, r.rank, r.queued_s, favoured
+            ),
+        )
         self.waiting.remove(request)
         self.running.add(request)
         self._estimate_service_time(request, now_s)
         request.started_s = now_s
+        if self.endpoint_load.has_pace:
+            self.rank_balance.record_served(request.rank, now_s)
         if request.queue_class is QueueClass.LATE:
             self.late_starts.add(now_s)
         self.stated_limit.record_send(now_s)
@@ -383,6 +414,7 @@
         ]
         for request in infeasible:
             self.waiting.remove(request)
+            self._record_lost(request, now_s)
         return infeasible
 
     @staticmethod
@@ -438,5 +470,15 @@
         return self._find_allowed_start(now_s, 0)
 
 
-def _sort_key(request: QueuedRequest) -> tuple[QueueClass, int, float]:
-    return (request.queue_class, request.rank, request.queued_s)
+def _sort_key(
+    queue_class: QueueClass, rank: int, queued_s: float, favoured: int | None
+) -> tuple[QueueClass, int, QueueClass, float]:
+    """Make the key by which waiting requests are ordered.
+
+    Late requests of a favoured rank, and of more urgent ones, start before
+    less urgent ones in time.
+    """
+    first_class = queue_class
+    if favoured is not None and rank <= favoured:
+        first_class = QueueClass.IN_TIME
+    return (first_class, rank, queue_class, queued_s)
