Connections to endpoints with a pace are used in turn

A request that may run only once closed all idle connections that were not used within a second before it opened a new one, which the next requests at the same time had to open again.

Where the endpoint reports a pace, requests that may be retried take the connection that was idle longest, so that all stay fresh, and a request that finds none fresh leaves the others open.

--- a/carawayvale/gateway/owned_endpoint.py
+++ b/carawayvale/gateway/owned_endpoint.py
@@ -367,6 +367,7 @@
             report arrived.
         """
         self.queue.endpoint_load.record(report, own, read_boot_clock())
+        self.upstream.pool.rotates = self.queue.endpoint_load.has_pace
 
     def expect_wait(self, rank: int) -> ExpectedWait | None:
         """Expect how long a request would wait for the endpoint.
