Waiting requests start by fair shares of the organisations

One organisation that sent seven times its usual load took the others' capacity: requests of a class and rank started by arrival. They now start in the order of start-time fair queueing by organisation, weighted by the contracted rate and by at least a third of the share of the demand, with a credit of two requests for lines that were empty. Admission's estimate, Retry-After, the bound of late requests and the removal of requests that can no longer finish use the same order. Without organisations or limits the order is that of arrival.

--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -1,5 +1,6 @@
 """Hold the state that the tasks and handlers of an instance share."""
 
+from collections.abc import Mapping
 from dataclasses import replace
 
 from carawayvale.catalogue.builder import CatalogueBuilder
@@ -28,6 +29,7 @@
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links.messages import MemberState
 from carawayvale.steering.expected_waits import ExpectedWaits
+from carawayvale.steering.fair_shares import find_weights
 from carawayvale.steering.full_endpoints import FullEndpoints
 from carawayvale.steering.organisations import KeyTable
 from carawayvale.steering.placement import group_by_region
@@ -68,6 +70,7 @@
         self.catalogue: Catalogue = EMPTY_CATALOGUE
         self.routes = RouteTable(())
         self.key_table = KeyTable((), header_names.credentials_scheme)
+        self.weights: Mapping[str, float] = {}
         self.usable_endpoints: dict[str, dict[str, list[EndpointRecord]]] = {}
         self.owners = EndpointOwners(membership)
         self.owned: dict[str, OwnedEndpoint] = {}
@@ -154,6 +157,7 @@
                 self.header_names.credentials_scheme,
             )
             self.quotas.set_organisations(configuration.organisations)
+            self.weights = find_weights(configuration.organisations)
             self.configured_s = now_s
         self._group_usable_endpoints()
         if old.evacuated != catalogue.evacuated:
@@ -203,6 +207,7 @@
                 self.released.append(self.owned.pop(name))
                 continue
             owned.update(endpoint, service, now_s)
+            owned.queue.set_weights(self.weights)
             evacuated = endpoint.domain in self.catalogue.evacuated
             owned.set_blocked(evacuated, now_s)
 
@@ -277,6 +282,7 @@
             return None
         owned = OwnedEndpoint(self.endpoint_context, endpoint, service)
         owned.blocked = endpoint.domain in self.catalogue.evacuated
+        owned.queue.set_weights(self.weights)
         self.owned[name] = owned
         log_event("endpoint_owned", endpoint=name, service=service.name)
         return owned
--- a/carawayvale/gateway/owned_endpoint.py
+++ b/carawayvale/gateway/owned_endpoint.py
@@ -210,6 +210,7 @@
             owner_request.deadline_s,
             owner_request.may_be_late,
             owner_request.may_warm_up,
+            organisation=owner_request.organisation,
         )
         rejection = self.queue.offer(queued, now_s)
         if rejection is not None:
@@ -223,9 +224,8 @@
             )
             if not await self._await_slot(queued, request_id):
                 pause_s = self.find_pause(read_boot_clock())
-                return UpstreamResult(
-                    UpstreamOutcome.FULL, pause_s + queued.service_time_s
-                )
+                wait_s = max(queued.service_time_s, queued.expected_s)
+                return UpstreamResult(UpstreamOutcome.FULL, pause_s + wait_s)
             result = await self._send(owner_request, queued)
             success = result.is_success
             return replace(result, failing=self.health.is_failing)
--- a/carawayvale/gateway/page_handlers.py
+++ b/carawayvale/gateway/page_handlers.py
@@ -152,6 +152,14 @@
             "members": len(node.membership.list_serving()),
             "members_age_s": now_s - node.members_changed_s,
             "messages_skipped": traffic.skipped_messages,
+            "waiting_organisations": len(
+                {
+                    queued.organisation
+                    for o in owned
+                    for queued in o.queue.waiting
+                    if queued.organisation
+                }
+            ),
             "waiting": sum(len(o.queue.waiting) for o in owned),
             "running": sum(len(o.queue.running) for o in owned),
         }
--- a/carawayvale/steering/admission.py
+++ b/carawayvale/steering/admission.py
@@ -2,18 +2,21 @@
 
 The queue handles more requests than the endpoint has slots. Requests
 that are expected to finish within their latency objective start first,
-by rank and then by arrival. Next come requests for new objects at the
+by rank and then by arrival, or by fair shares of the organisations where
+these have limits. Next come requests for new objects at the
 endpoint that will keep them, since one such request makes many later
 requests fast. Late requests are queued behind those as long as they are
 likely to finish by their deadline. A request that cannot be served in
 time is rejected at once.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import IntEnum
 import heapq
 
 from carawayvale.steering.expected_waits import ExpectedWait
+from carawayvale.steering.fair_shares import FairShares
 from carawayvale.steering.load_reports import EndpointLoad
 from carawayvale.steering.rank_balance import RankBalance
 from carawayvale.steering.rates import ColdRateLimit
@@ -72,6 +75,10 @@
     :param is_warm: whether the endpoint handled the object lately.
     :param has_estimate: whether the estimate rests on samples.
     :param reuse_distance: see :meth:`ServiceTimes.record_use`.
+    :param organisation: name of the caller's organisation; empty if there
+        are none.
+    :param expected_s: seconds until it would have finished, if it was
+        removed because others came before it.
     :param answered_by_repeat: whether a repeat was answered first, so
         that its service time is not known.
     """
@@ -90,6 +97,8 @@
     has_estimate: bool = False
     reuse_distance: int = 0
     answered_by_repeat: bool = False
+    organisation: str = ""
+    expected_s: float = 0.0
 
     def limit_times(self, until_s: float) -> None:
         """Limit the times by which the response is due.
@@ -131,6 +140,20 @@
         self.cold_limit: ColdRateLimit | None = None
         self.stated_limit = StatedLimit()
         self.late_starts = WindowCounter(LATE_WINDOW_S)
+        self.shares: FairShares | None = None
+        self._may_overtake = False
+
+    def set_weights(self, weights: Mapping[str, float]) -> None:
+        """Set the weights of the organisations.
+
+        :param weights: weights by name; empty for the order of arrival.
+        """
+        if not weights:
+            self.shares = None
+        elif self.shares is None:
+            self.shares = FairShares(weights)
+        else:
+            self.shares.set_weights(weights)
 
     @property
     def load(self) -> int:
@@ -187,6 +210,8 @@
         :returns: None if the request is queued, else the rejection.
         """
         request.queued_s = now_s
+        if self.shares is not None:
+            self.shares.record_demand(request.organisation, now_s)
         self._estimate_service_time(request, now_s)
         finish_s = self._predict_finish(request, now_s, QueueClass.IN_TIME)
         if finish_s <= request.objective_s:
@@ -270,7 +295,7 @@
         waiting = sum(
             other.queue_class is QueueClass.LATE
             and (not by_rank or other.rank <= request.rank)
-            for other in self.waiting
+            for other in self._list_ahead(request, QueueClass.LATE, now_s)
         )
         rate = self.late_starts.count(now_s) / LATE_WINDOW_S
         return waiting <= rate * max_wait_s
@@ -298,8 +323,8 @@
         :param queue_class: class in which it would wait.
         :returns: the time.
         """
-        start_s = self._predict_start(request.rank, now_s, queue_class)
-        return start_s + request.service_time_s
+        ahead = self._list_ahead(request, queue_class, now_s)
+        return self._predict_start(ahead, now_s) + request.service_time_s
 
     def expect_wait(self, rank: int, now_s: float) -> ExpectedWait:
         """Expect how long a request in time would wait.
@@ -308,20 +333,30 @@
         :param now_s: the time.
         :returns: its wait, and the load that causes it.
         """
-        start_s = self._predict_start(rank, now_s, QueueClass.IN_TIME)
+        ahead = self._select_ahead(rank, QueueClass.IN_TIME, now_s)
         return ExpectedWait(
             len(self.running),
             len(self.waiting),
             self.count_slots(now_s),
-            start_s - now_s,
+            self._predict_start(ahead, now_s) - now_s,
             self._apply_pace(self.service_times.warm_s, now_s),
             self._apply_pace(self.service_times.new_s, now_s),
         )
 
     def _predict_start(
-        self, rank: int, now_s: float, queue_class: QueueClass
+        self, ahead: list[QueuedRequest], now_s: float
     ) -> float:
-        """Predict when a request would start if it were queued now."""
+        """Predict when a request would start behind others."""
+        slots_free_s = self._list_free_times(now_s)
+        for position, other in enumerate(ahead):
+            allowed_s = self._find_allowed_start(now_s, position)
+            start_s = max(allowed_s, heapq.heappop(slots_free_s))
+            heapq.heappush(slots_free_s, start_s + other.service_time_s)
+        allowed_s = self._find_allowed_start(now_s, len(ahead))
+        return max(allowed_s, heapq.heappop(slots_free_s))
+
+    def _list_free_times(self, now_s: float) -> list[float]:
+        """List the times at which the slots become free, as a heap."""
         slots_free_s = [
             max(now_s, other.started_s + other.service_time_s)
             for other in self.running
@@ -333,21 +368,77 @@
             slots_free_s = sorted(slots_free_s)[-slots:]
         slots_free_s += [now_s] * (slots - len(slots_free_s))
         heapq.heapify(slots_free_s)
-        ahead = 0
+        return slots_free_s
+
+    def _predict_finishes(
+        self, requests: list[QueuedRequest], now_s: float
+    ) -> list[float]:
+        """Predict when requests finish if they start in a given order."""
+        slots_free_s = self._list_free_times(now_s)
+        finishes_s = []
+        for position, request in enumerate(requests):
+            allowed_s = self._find_allowed_start(now_s, position)
+            start_s = max(allowed_s, heapq.heappop(slots_free_s))
+            finishes_s.append(start_s + request.service_time_s)
+            heapq.heappush(slots_free_s, finishes_s[-1])
+        return finishes_s
+
+    def _order_shares(
+        self, waiting: list[QueuedRequest], now_s: float
+    ) -> list[QueuedRequest]:
+        """Order requests by fair shares, a favoured rank first."""
         favoured = self._find_favoured(now_s)
+        ordered = self.shares.order(waiting)
+        if favoured is not None:
+            ordered.sort(
+                key=lambda r: _sort_key(r.queue_class, r.rank, 0.0, favoured)
+            )
+        return ordered
+
+    def _list_ahead(
+        self, request: QueuedRequest, queue_class: QueueClass, now_s: float
+    ) -> list[QueuedRequest]:
+        """List the waiting requests that are expected to start before one.
+
+        Before a late request, others are expected that are not here yet, so
+        all those that wait count, except those of its class and rank that
+        fair shares put after it. Where an endpoint reports a pace, only
+        those count that start before it.
+        """
+        if self.shares is None:
+            return self._select_ahead(request.rank, queue_class, now_s)
+        old_class, request.queue_class = request.queue_class, queue_class
+        ordered = self._order_shares([*self.waiting, request], now_s)
+        request.queue_class = old_class
+        position = ordered.index(request)
+        before, after = ordered[:position], ordered[position + 1 :]
         by_rank = self.endpoint_load.has_pace
+        if queue_class is QueueClass.LATE and not by_rank:
+            before += [
+                other
+                for other in after
+                if other.queue_class is not queue_class
+                or other.rank != request.rank
+            ]
+        self._may_overtake = self._may_overtake or len(after) > 0
+        return before
+
+    def _select_ahead(
+        self, rank: int, queue_class: QueueClass, now_s: float
+    ) -> list[QueuedRequest]:
+        """Select the requests that start before one by class and rank."""
+        if queue_class is QueueClass.LATE and not self.endpoint_load.has_pace:
+            return self.waiting
+        favoured = self._find_favoured(now_s)
         own = _sort_key(queue_class, rank, now_s, favoured)
-        for other in self.waiting:
-            key = _sort_key(
+        return [
+            other
+            for other in self.waiting
+            if _sort_key(
                 other.queue_class, other.rank, other.queued_s, favoured
             )
-            if key <= own or (queue_class is QueueClass.LATE and not by_rank):
-                allowed_s = self._find_allowed_start(now_s, ahead)
-                start_s = max(allowed_s, heapq.heappop(slots_free_s))
-                heapq.heappush(slots_free_s, start_s + other.service_time_s)
-                ahead += 1
-        allowed_s = self._find_allowed_start(now_s, ahead)
-        return max(allowed_s, heapq.heappop(slots_free_s))
+            <= own
+        ]
 
     def take(self, now_s: float) -> QueuedRequest | None:
         """Take the next request that may start.
@@ -361,13 +452,7 @@
             return None
         for request in self.waiting:
             self._update_class(request, now_s)
-        favoured = self._find_favoured(now_s)
-        request = min(
-            self.waiting,
-            key=lambda r: _sort_key(
-                r.queue_class, r.rank, r.queued_s, favoured
-            ),
-        )
+        request = self._find_next(now_s)
         self.waiting.remove(request)
         self.running.add(request)
         self._estimate_service_time(request, now_s)
@@ -385,6 +470,22 @@
             )
         return request
 
+    def _find_next(self, now_s: float) -> QueuedRequest:
+        """Find the waiting request that starts first."""
+        if self.shares is None:
+            favoured = self._find_favoured(now_s)
+            return min(
+                self.waiting,
+                key=lambda r: _sort_key(
+                    r.queue_class, r.rank, r.queued_s, favoured
+                ),
+            )
+        if not self.running and len(self.waiting) == 1:
+            self.shares.reset()
+        request = self._order_shares(self.waiting, now_s)[0]
+        self.shares.record_start(request)
+        return request
+
     def _update_class(self, request: QueuedRequest, now_s: float) -> None:
         """Reclassify a request if its object became warm or it became late."""
         if (
@@ -415,8 +516,38 @@
         for request in infeasible:
             self.waiting.remove(request)
             self._record_lost(request, now_s)
+        if self.shares is not None and self._may_overtake:
+            infeasible += self._drop_overtaken(now_s)
         return infeasible
 
+    def _drop_overtaken(self, now_s: float) -> list[QueuedRequest]:
+        """Remove requests that fair shares put behind later ones for long.
+
+        Those that can no longer finish in time may be tried at another
+        endpoint.
+        """
+        ordered = self._order_shares(self.waiting, now_s)
+        finishes_s = self._predict_finishes(ordered, now_s)
+        overtaken = []
+        latest: dict[tuple[QueueClass, int], float] = {}
+        for request, finish_s in zip(ordered, finishes_s):
+            group = (request.queue_class, request.rank)
+            is_overtaken = request.queued_s < latest.get(group, 0.0)
+            latest[group] = max(request.queued_s, latest.get(group, 0.0))
+            latest_s = (
+                request.deadline_s
+                if request.may_be_late
+                else request.objective_s
+            )
+            if is_overtaken and finish_s > latest_s:
+                request.expected_s = finish_s - now_s
+                overtaken.append(request)
+        self._may_overtake = len(overtaken) > 1
+        # The last one has the longest wait, and those before it move up.
+        for request in overtaken[-1:]:
+            self.waiting.remove(request)
+        return overtaken[-1:]
+
     @staticmethod
     def _can_finish(request: QueuedRequest, now_s: float) -> bool:
         latest_s = (
