Quotas wait longer for a busy owner; the test of two owners uses up the limit

An owner that took more than 0.2 s was bypassed for 1 s, which costs its organisations most of their rate on a busy machine. The time-out is now 0.3 s, within the validity of the tokens, and the owner is asked again after 0.5 s. The effect under full load was not measured.

The state machine test passed on a trial copy whose new owners grant the whole rate at once, since the two owners were rarely asked together. It now uses up the limit at both after changes of members, and fails on that copy. It does not detect trial copies without the check for pauses or for duplicated handovers; tests of these alone do. 46 tests of quotas and fair shares passed.

--- a/carawayvale/gateway/quota_calls.py
+++ b/carawayvale/gateway/quota_calls.py
@@ -43,13 +43,15 @@
 HTTP_BAD_REQUEST = 400
 MAX_RESPONSE_BYTES = 1024
 
-# Two calls in a row fit into the validity of the tokens.
-CALL_TIMEOUT_S = 0.2
+# Shorter than the validity of the tokens, and longer than a round trip
+# between regions (40 ms) and the delay of a busy instance.
+CALL_TIMEOUT_S = 0.3
 # An instance that passes a call on to the owner waits less than its caller.
-FORWARD_TIMEOUT_S = 0.12
+FORWARD_TIMEOUT_S = 0.2
 
-# An instance that did not answer is not asked again for this long.
-UNREACHABLE_BACKOFF_S = 1.0
+# An instance that did not answer is not asked again for this long. The next
+# one in the order may grant only a part of the rate meanwhile.
+UNREACHABLE_BACKOFF_S = 0.5
 
 # Maximum number of instances that are asked for one organisation in a row.
 MAX_OWNERS = 3
--- a/carawayvale/steering/tests/test_quotas.py
+++ b/carawayvale/steering/tests/test_quotas.py
@@ -475,8 +475,9 @@
         kill=strategies.booleans(),
         index=strategies.integers(0, 3),
         informed=strategies.sets(strategies.integers(0, 3), max_size=3),
+        seed=strategies.integers(0, 2**32),
     )
-    def change_members(self, kill, index, informed):
+    def change_members(self, kill, index, informed, seed):
         """Kill the owner, end it as planned, or let an instance join."""
         owner = self.pick(0).ownership.list_order(NAME)[0]
         absent = sorted(set(self.instances) - self.members - self.dead)
@@ -491,6 +492,9 @@
             name = f"e{number}"
             if self.runs(name):
                 self.learn(self.instances[name])
+        if seed % 2:
+            # The limit is used up at both owners.
+            self.play(30, 1000, seed)
 
     @rule(index=strategies.integers(0, 3))
     def learn_members(self, index):
