One memory budget for the messages of a gateway process

Cause: responses were read from endpoints and owners without a bound on their sum, copied up to three times, and held for clients that read nothing; pipelined requests behind them ran too; a head of 16 KB could have thousands of lines, each with objects of its own; callers could take all descriptors.

Change: ProcessMemory is a share of memory_mb with shares for bodies and responses of the callers' and the owners' port. Reading a response stops while its share is exhausted, for at most 2 s; then it counts as one that may have run. Meanwhile the largest holder whose client takes nothing is reset. Large bodies are not copied, and are returned to the kernel when freed. Requests wait behind more than 256 KiB on their connection; heads have at most 256 lines; connections are bounded by max_fds.

--- a/carawayvale/gateway/body_memory.py
+++ b/carawayvale/gateway/body_memory.py
@@ -4,10 +4,12 @@
 the limits of callers; their sum has to be within the memory of the process.
 """
 
-# Fraction of the memory of the process that the bodies of one port may take.
-# There are two such ports, and the rest of the process needs its own.
-MEMORY_SHARE = 0.25
-BYTES_PER_MB = 1_000_000
+from carawayvale.gateway.process_memory import ProcessMemory
+
+# Fractions of the memory of the process that bodies from callers, and from
+# other instances, may take.
+CALLER_BODIES_SHARE = 0.2
+OWNER_BODIES_SHARE = 0.15
 
 # Bodies up to this size are not counted: the buffers of a connection are
 # about as large.
@@ -22,6 +24,7 @@
 
     :param limit_bytes: what all bodies together may take; a single larger
         one is admitted while there is no other.
+    :param process: memory of the process, of which this is a share.
 
     >>> memory = BodyMemory(100)
     >>> memory.reserve(60), memory.reserve(60)
@@ -31,8 +34,13 @@
     True
     """
 
-    def __init__(self, limit_bytes: float = float("inf")):
+    def __init__(
+        self,
+        limit_bytes: float = float("inf"),
+        process: ProcessMemory | None = None,
+    ):
         self.limit_bytes = limit_bytes
+        self.process = process or ProcessMemory(0)
         self.used_bytes = 0
 
     def reserve(self, size: int) -> bool:
@@ -43,6 +51,8 @@
         """
         if self.used_bytes and self.used_bytes + size > self.limit_bytes:
             return False
+        if not self.process.reserve(size):
+            return False
         self.used_bytes += size
         return True
 
@@ -52,6 +62,7 @@
         :param size: number of bytes.
         """
         self.used_bytes -= size
+        self.process.release(size)
 
 
 def make_body_memory(memory_mb: float) -> BodyMemory:
@@ -60,9 +71,8 @@
     :param memory_mb: memory of the process in MB; 0 if it is not limited.
     :returns: the limit.
     """
-    if not memory_mb:
-        return BodyMemory()
-    return BodyMemory(memory_mb * BYTES_PER_MB * MEMORY_SHARE)
+    process = ProcessMemory(memory_mb)
+    return BodyMemory(process.find_share(CALLER_BODIES_SHARE), process)
 
 
 class BodyReservation:
--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -12,7 +12,9 @@
 from carawayvale.contracts.clock import Clock
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.age_reports import AgeReports
-from carawayvale.gateway.body_memory import make_body_memory
+from carawayvale.gateway.body_memory import BodyMemory
+from carawayvale.gateway.body_memory import CALLER_BODIES_SHARE
+from carawayvale.gateway.body_memory import OWNER_BODIES_SHARE
 from carawayvale.gateway.change_feed import ChangeFeed
 from carawayvale.gateway.feed_notices import FeedNotices
 from carawayvale.gateway.forwarding import limit_forwards
@@ -22,14 +24,19 @@
 from carawayvale.gateway.page_handlers import LookupHandler
 from carawayvale.gateway.page_handlers import MetricsHandler
 from carawayvale.gateway.page_handlers import ReadinessHandler
+from carawayvale.gateway.process_memory import map_large_blocks
 from carawayvale.gateway.proxy_handler import ProxyHandler
 from carawayvale.gateway.reachability_monitor import ReachabilityMonitor
 from carawayvale.gateway.registration import Registration
+from carawayvale.gateway.response_memory import OWNER_RESPONSES_SHARE
+from carawayvale.gateway.response_memory import OWNER_STALL_S
+from carawayvale.gateway.response_memory import ResponseMemory
 from carawayvale.gateway.server import HandleRequest
 from carawayvale.gateway.server import RequestServer
 from carawayvale.gateway.settings import GatewaySettings
 from carawayvale.links import handlers  # noqa: F401 registers handlers
 from carawayvale.links.listener import Listener
+from carawayvale.links.listener import MAX_CONNECTIONS
 from carawayvale.links.listener import open_listener
 from carawayvale.links.membership import Membership
 from carawayvale.links.messages import MemberRecord
@@ -51,6 +58,15 @@
 # its caller can try another instance.
 MEMORY_WAIT_S = 0.5
 
+# The same for a body from another instance. Two instances that wait for
+# each other's memory end their waits after this time.
+OWNER_MEMORY_WAIT_S = 10.0
+
+# Fractions of the descriptors of the process that connections of callers,
+# and of other instances, may take; endpoints and links use the rest.
+CALLER_FILES_SHARE = 0.6
+OWNER_FILES_SHARE = 0.2
+
 # Callers may keep a look-up for up to three times its time to live.
 LOOKUP_EXPIRY_S = 3.2
 
@@ -110,17 +126,28 @@
         self.registration = Registration(self.store, settings)
         self.reachability_monitor = ReachabilityMonitor(self.node, self.peers)
         proxy_handler = ProxyHandler(self.node)
+        memory = self.node.memory
         self.caller_server = RequestServer(
             proxy_handler.handle,
             find_timeout=proxy_handler.find_timeout,
-            body_memory=make_body_memory(settings.memory_mb),
+            body_memory=BodyMemory(
+                memory.find_share(CALLER_BODIES_SHARE), memory
+            ),
             memory_wait_s=MEMORY_WAIT_S,
+            response_memory=ResponseMemory(memory),
+            max_head_lines=settings.max_head_lines,
         )
-        # Bodies that another instance has accepted wait as long as it takes;
-        # those here end by themselves.
+        # Bodies that another instance has accepted wait longer; those here
+        # end by themselves.
         self.internal_server = RequestServer(
             OwnerHandler(self.node).handle,
-            body_memory=make_body_memory(settings.memory_mb),
+            body_memory=BodyMemory(
+                memory.find_share(OWNER_BODIES_SHARE), memory
+            ),
+            memory_wait_s=OWNER_MEMORY_WAIT_S,
+            response_memory=ResponseMemory(
+                memory, OWNER_RESPONSES_SHARE, OWNER_STALL_S
+            ),
         )
         self.listeners: dict[RequestServer, Listener] = {}
         self.stop_requested = curio.Event()
@@ -130,14 +157,19 @@
     async def run(self) -> None:
         """Serve until a planned stop is complete."""
         settings = self.settings
+        map_large_blocks()
         caller_socket = open_listener(settings.callers)
         internal_socket = open_listener(settings.internal)
         self.listeners = {
             self.caller_server: Listener(
-                caller_socket, self.caller_server.serve
+                caller_socket,
+                self.caller_server.serve,
+                self._find_limit(CALLER_FILES_SHARE),
             ),
             self.internal_server: Listener(
-                internal_socket, self.internal_server.serve
+                internal_socket,
+                self.internal_server.serve,
+                self._find_limit(OWNER_FILES_SHARE),
             ),
         }
         listeners = [
@@ -201,6 +233,10 @@
             needs_restart=merged != settings,
         )
 
+    def _find_limit(self, share: float) -> int:
+        """Find how many connections a port may have."""
+        return min(MAX_CONNECTIONS, int(self.settings.max_files * share))
+
     def _make_listener(
         self, address: Address, handle: HandleRequest
     ) -> Listener:
--- a/carawayvale/gateway/endpoint_exchange.py
+++ b/carawayvale/gateway/endpoint_exchange.py
@@ -91,7 +91,7 @@
             return UpstreamResult(UpstreamOutcome.QUARANTINED, wait_s)
         result = await self._report_end(await self._send())
         self._record_notice(result)
-        if self.is_current:
+        if self.is_current and not result.no_memory:
             self._record_signal(result)
         self.record_run(result)
         if not self.owned.is_usable:
--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -24,6 +24,8 @@
 from carawayvale.gateway.owner_messages import QUOTA_HEADER
 from carawayvale.gateway.owner_messages import ReceivedOwnerRequest
 from carawayvale.gateway.owner_request import OwnerRequest
+from carawayvale.gateway.response_memory import NoMemory
+from carawayvale.gateway.response_memory import ResponseHold
 from carawayvale.gateway.upstream import MAX_RESPONSE_BYTES
 from carawayvale.gateway.upstream import UpstreamOutcome
 from carawayvale.gateway.upstream import UpstreamResult
@@ -85,6 +87,7 @@
     except ConnectFailed as error:
         raise OwnerUnreachable(str(error)) from None
     complete = False
+    hold = ResponseHold(owner_request.request.response_memory)
     request_id = owner_request.request.find(id_header) or b""
     forwards.add_request(owner, request_id)
     if owner_request.idempotent:
@@ -92,7 +95,7 @@
     try:
         async with curio.timeout_after(remaining_s + RESPONSE_MARGIN_S):
             result = await _exchange(
-                client, owner_request, endpoint, id_header
+                client, owner_request, endpoint, id_header, hold
             )
         complete = True
     except curio.TaskTimeout:
@@ -100,6 +103,10 @@
             UpstreamOutcome.LATE,
             cause="no response from owner before the deadline",
         )
+    except NoMemory as error:
+        result = UpstreamResult(
+            UpstreamOutcome.FAILED, cause=str(error), no_memory=True
+        )
     except (InvalidResponse, ValueError) as error:
         result = UpstreamResult(
             UpstreamOutcome.FAILED, cause=f"owner: {error!r}"
@@ -112,6 +119,7 @@
         forwards.discard_request(owner, request_id)
         forwards.discard(owner, client)
         if not complete:
+            hold.release()
             await client.close()
     if complete:
         await pool.release(client)
@@ -123,6 +131,7 @@
     owner_request: OwnerRequest,
     endpoint: str,
     id_header: bytes,
+    hold: ResponseHold,
 ) -> UpstreamResult:
     headers = encode_owner_request(owner_request, endpoint, read_boot_clock())
     request = owner_request.request
@@ -130,7 +139,8 @@
         request.method, request.target, headers, request.body
     )
     head = await client.read_head()
-    body = await client.read_body(MAX_RESPONSE_BYTES)
+    hold.state(head.find(b"content-length"))
+    body = await client.read_body(MAX_RESPONSE_BYTES, hold.make_room)
     echoed_id = head.find(id_header)
     # Instances of earlier versions echo the id only with an answer.
     if echoed_id is not None and echoed_id != request.find(id_header):
--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -22,6 +22,7 @@
 from carawayvale.gateway.observer import RequestObserver
 from carawayvale.gateway.owned_endpoint import OwnedEndpoint
 from carawayvale.gateway.owner_request import OwnerRequest
+from carawayvale.gateway.process_memory import ProcessMemory
 from carawayvale.gateway.quota_calls import QuotaCalls
 from carawayvale.gateway.settings import GatewaySettings
 from carawayvale.links.connections import ConnectionPools
@@ -66,6 +67,7 @@
         self.settings = settings
         self.header_names = header_names
         self.membership = membership
+        self.memory = ProcessMemory(settings.memory_mb, settings.message_share)
         self.builder = CatalogueBuilder(source)
         self.catalogue: Catalogue = EMPTY_CATALOGUE
         self.routes = RouteTable(())
--- a/carawayvale/gateway/http_messages.py
+++ b/carawayvale/gateway/http_messages.py
@@ -1,9 +1,11 @@
 """Complete requests and responses."""
 
 from dataclasses import dataclass
+from dataclasses import field
 from functools import cached_property
 from hashlib import blake2b
 
+from carawayvale.gateway.response_memory import ResponseAccount
 from carawayvale.links.http import find_header
 
 FINGERPRINT_BYTES = 16
@@ -20,6 +22,8 @@
     :param arrived_s: time at which the head arrived, by the boot clock.
     :param organisation: name of the organisation that the caller belongs
         to; empty if callers need no keys.
+    :param response_memory: memory of the responses to the request; None if
+        they are not counted.
     """
 
     method: str
@@ -28,6 +32,9 @@
     body: bytes | bytearray
     arrived_s: float
     organisation: str = ""
+    response_memory: ResponseAccount | None = field(
+        default=None, compare=False, repr=False
+    )
 
     def find(self, name: bytes) -> bytes | None:
         """Find the value of a header.
@@ -105,5 +112,5 @@
 
     status: int
     headers: tuple[tuple[bytes, bytes], ...] = ()
-    body: bytes = b""
+    body: bytes | bytearray = b""
     close: bool = False
--- a/carawayvale/gateway/owner_messages.py
+++ b/carawayvale/gateway/owner_messages.py
@@ -113,6 +113,7 @@
         request.body,
         arrived_s,
         organisation,
+        request.response_memory,
     )
     owner_request = OwnerRequest(
         original,
--- a/carawayvale/gateway/page_handlers.py
+++ b/carawayvale/gateway/page_handlers.py
@@ -161,6 +161,9 @@
                 }
             ),
             "waiting": sum(len(o.queue.waiting) for o in owned),
+            "memory_used_bytes": node.memory.used_bytes,
+            "clients_closed": node.memory.counts.get("client_closed", 0),
+            "responses_dropped": node.memory.counts.get("response_dropped", 0),
             "running": sum(len(o.queue.running) for o in owned),
         }
 
--- a/carawayvale/gateway/request_attempts.py
+++ b/carawayvale/gateway/request_attempts.py
@@ -410,6 +410,8 @@
         """
         if context.may_have_run and not context.route.idempotent:
             return StopReason.NOT_IDEMPOTENT
+        if result.no_memory:
+            return StopReason.NO_MEMORY
         if result.outcome is UpstreamOutcome.LATE:
             return StopReason.DEADLINE
         if result.outcome is UpstreamOutcome.CRASHED:
--- a/carawayvale/gateway/request_context.py
+++ b/carawayvale/gateway/request_context.py
@@ -27,6 +27,7 @@
     CRASHES = "crashes"
     QUARANTINE = "quarantine"
     STOPPING = "stopping"
+    NO_MEMORY = "no_memory"
 
 
 @dataclass(frozen=True)
--- a/carawayvale/gateway/request_parser.py
+++ b/carawayvale/gateway/request_parser.py
@@ -1,16 +1,31 @@
 """Parse requests from a stream of bytes, and encode their responses."""
 
+from collections.abc import Callable
+import re
+
 import h11
 
 from carawayvale.catalogue.records import RequestLimits
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.http_messages import Response
+from carawayvale.gateway.response_memory import ResponseAccount
 from carawayvale.links.http import find_header
 from carawayvale.links.http import MAX_BODY_PARTS
 from carawayvale.links.turns import STEPS_PER_TURN
 
 HTTP_CONTENT_TOO_LARGE = 413
+HTTP_HEADERS_TOO_LARGE = 431
+
+# Default of the maximum number of lines of a head. Each takes about 170 bytes
+# of memory when it is parsed, also if it is empty, so that a head takes less
+# than 64 KiB.
+MAX_HEAD_LINES = 256
+
+HEAD_END = re.compile(rb"\n\r?\n")
+
+# A larger body is encoded separately from its head, without a copy.
+MAX_JOINED_BYTES = 1 << 16
 
 
 class InvalidRequest(Exception):
@@ -28,10 +43,20 @@
     """Parser of a stream of bytes into complete requests.
 
     :param limits: size limits for callers.
+    :param max_head_lines: maximum number of lines of a head.
+    :param make_account: makes the account of the memory of the responses
+        to a request.
     """
 
-    def __init__(self, limits: RequestLimits):
+    def __init__(
+        self,
+        limits: RequestLimits,
+        max_head_lines: int = MAX_HEAD_LINES,
+        make_account: Callable[[], ResponseAccount | None] = lambda: None,
+    ):
+        self.make_account = make_account
         self.limits = limits
+        self.max_head_lines = max_head_lines
         self.http = self._make_connection()
         self.head: h11.Request | None = None
         self.incomplete_since_s: float | None = None
@@ -120,12 +145,33 @@
         """Parse the next part of the stream, if it has arrived."""
         if self.ended:
             return None
+        if self.head is None:
+            self._check_lines()
         try:
             event = self.http.next_event()
         except h11.RemoteProtocolError as error:
             raise InvalidRequest(error.error_status_hint) from None
         return None if event in (h11.NEED_DATA, h11.PAUSED) else event
 
+    def _check_lines(self) -> None:
+        """Bound the lines of the next head before h11 parses them."""
+        data = self.http.trailing_data[0]
+        # A head of that many lines has at least two bytes in each.
+        if len(data) <= 2 * self.max_head_lines:
+            return
+        match = HEAD_END.search(data)
+        end = match.end() if match else len(data)
+        if data.count(b"\n", 0, end) > self.max_head_lines + 1:
+            raise InvalidRequest(HTTP_HEADERS_TOO_LARGE)
+
+    def restart_timeout(self) -> None:
+        """Count the time of an incomplete head from now.
+
+        Its connection was not read in the meantime.
+        """
+        if self.incomplete_since_s is not None:
+            self.incomplete_since_s = read_boot_clock()
+
     def _apply_event(self, event: h11.Event) -> None:
         if isinstance(event, h11.ConnectionClosed):
             self.ended = True
@@ -152,6 +198,7 @@
             tuple(head.headers),
             self.body,
             self.arrived_s,
+            response_memory=self.make_account(),
         )
         self.head, self.body, self.body_parts = None, bytearray(), 0
         self.incomplete_since_s = None
@@ -175,6 +222,15 @@
         else:
             self.ended = True
 
+    def replace_unanswered(self, request: Request, other: Request) -> None:
+        """Take another object for a request of this connection.
+
+        :param request: the request.
+        :param other: the same request without its body.
+        """
+        if self.unanswered is request:
+            self.unanswered = other
+
     def encode(self, response: Response, request: Request) -> bytes:
         """Encode the response to a request of this connection.
 
@@ -182,11 +238,27 @@
         :param request: the request.
         :returns: the encoded response.
         """
+        return b"".join(self.encode_parts(response, request))
+
+    def encode_parts(
+        self, response: Response, request: Request
+    ) -> list[bytes | bytearray]:
+        """Encode the response to a request, a large body without a copy.
+
+        :param response: the response.
+        :param request: the request.
+        :returns: the parts of the encoded response.
+        """
+        large = len(response.body) > MAX_JOINED_BYTES
         if self.unanswered is not request:
-            return encode_response(response, request.method)
-        data = send_response(self.http, response, request.method)
+            if not large:
+                return [encode_response(response, request.method)]
+            return send_response_parts(
+                parse_method(request.method), response, request.method
+            )
+        parts = send_response_parts(self.http, response, request.method)
         self._start_next_cycle()
-        return data
+        return parts if large else [b"".join(parts)]
 
 
 def encode_response(response: Response, method: str) -> bytes:
@@ -196,30 +268,41 @@
     :param method: HTTP method of the request.
     :returns: the encoded response.
     """
+    return b"".join(
+        send_response_parts(parse_method(method), response, method)
+    )
+
+
+def parse_method(method: str) -> h11.Connection:
+    """Make a connection that has parsed a request with a method.
+
+    :param method: HTTP method.
+    :returns: the state of the connection.
+    """
     # h11 frames a response by the method of the request before it.
     http = h11.Connection(h11.SERVER)
     http.receive_data(f"{method} / HTTP/1.1\r\nhost: a\r\n\r\n".encode())
     http.next_event()
-    return send_response(http, response, method)
+    return http
 
 
-def send_response(
+def send_response_parts(
     http: h11.Connection, response: Response, method: str
-) -> bytes:
+) -> list[bytes | bytearray]:
     """Let h11 encode a response to the request that it parsed last.
 
     :param http: state of the connection.
     :param response: the response.
     :param method: HTTP method of the request.
-    :returns: the encoded response.
+    :returns: the parts of the encoded response.
     """
     headers = list(response.headers)
     headers.append((b"content-length", b"%d" % len(response.body)))
     if response.close:
         headers.append((b"connection", b"close"))
-    data = http.send(
-        h11.Response(status_code=response.status, headers=headers)
-    )
+    head = h11.Response(status_code=response.status, headers=headers)
+    parts = [http.send(head)]
     if response.body and method != "HEAD":
-        data += http.send(h11.Data(data=response.body))
-    return data
+        data = h11.Data(data=response.body)
+        parts += http.send_with_data_passthrough(data)
+    return parts
--- a/carawayvale/gateway/server.py
+++ b/carawayvale/gateway/server.py
@@ -11,6 +11,9 @@
 from carawayvale.gateway.body_memory import BodyMemory
 from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.http_messages import Response
+from carawayvale.gateway.process_memory import ProcessMemory
+from carawayvale.gateway.request_parser import MAX_HEAD_LINES
+from carawayvale.gateway.response_memory import ResponseMemory
 from carawayvale.gateway.server_connection import ServerConnection
 from carawayvale.links.http import Headers
 
@@ -39,6 +42,8 @@
         seconds its body has to arrive.
     :param body_memory: memory for the bodies of all connections.
     :param memory_wait_s: longest wait of a body for memory.
+    :param response_memory: memory for the responses of all connections.
+    :param max_head_lines: maximum number of lines of the head of a request.
     """
 
     def __init__(
@@ -48,7 +53,13 @@
         find_timeout: FindTimeout = find_no_timeout,
         body_memory: BodyMemory | None = None,
         memory_wait_s: float = math.inf,
+        response_memory: ResponseMemory | None = None,
+        max_head_lines: int = MAX_HEAD_LINES,
     ):
+        self.max_head_lines = max_head_lines
+        self.response_memory = response_memory or ResponseMemory(
+            ProcessMemory(0)
+        )
         self.body_memory = body_memory or BodyMemory()
         self.memory_wait_s = memory_wait_s
         self.handle = handle
--- a/carawayvale/gateway/server_connection.py
+++ b/carawayvale/gateway/server_connection.py
@@ -9,7 +9,9 @@
 
 from collections import deque
 from dataclasses import dataclass
+from dataclasses import replace
 import socket
+import struct
 from typing import TYPE_CHECKING
 
 import curio
@@ -18,11 +20,14 @@
 
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.body_memory import BodyReservation
+from carawayvale.gateway.body_memory import UNCOUNTED_BYTES
 from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.http_messages import Response
 from carawayvale.gateway.request_parser import encode_response
 from carawayvale.gateway.request_parser import InvalidRequest
 from carawayvale.gateway.request_parser import RequestParser
+from carawayvale.gateway.response_memory import ResponseAccount
+from carawayvale.gateway.response_memory import ResponseHolder
 from carawayvale.links.http import READ_BYTES
 from carawayvale.links.turns import STEPS_PER_READ
 from carawayvale.links.turns import TurnCounter
@@ -34,6 +39,19 @@
 # Maximum number of requests of one connection that are in progress.
 PIPELINE_DEPTH = 16
 
+# No further request is started while the requests and responses of a
+# connection take more than this.
+MAX_PIPELINED_BYTES = 1 << 18
+
+# Estimated memory of a header of a parsed request.
+HEADER_BYTES = 170
+
+# A large response is written in pieces of this size.
+PIECE_BYTES = 1 << 16
+
+# Value of SO_LINGER with which a closed socket drops what is unread.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 # Interval at which a connection with a full pipeline checks for room.
 PIPELINE_POLL_S = 0.005
 
@@ -61,9 +79,22 @@
 
     request: Request
     body: BodyReservation
+    memory: ResponseAccount
     task: curio.Task | None = None
     response: Response | None = None
 
+    def release(self) -> None:
+        """Return the memory of the request and its responses."""
+        self.body.release()
+        self.memory.close()
+
+    @property
+    def held_bytes(self) -> int:
+        """Size of the request, and of its response if there is one."""
+        request, response = self.request, self.response
+        size = len(request.body) + HEADER_BYTES * len(request.headers)
+        return size + (len(response.body) if response else 0)
+
 
 class ServerConnection:
     """One connection, with a task that reads and a task per request.
@@ -77,7 +108,12 @@
     def __init__(self, server: "RequestServer", sock: Socket):
         self.server = server
         self.sock = sock
-        self.parser = RequestParser(server.limits)
+        self.holder = ResponseHolder(server.response_memory, self._abort)
+        self.parser = RequestParser(
+            server.limits,
+            server.max_head_lines,
+            lambda: ResponseAccount(self.holder),
+        )
         self.pipeline: deque[OpenRequest] = deque()
         self.changed = curio.Event()
         self.idle_since_s = read_boot_clock()
@@ -86,6 +122,17 @@
         self.sent_last = False
         self.body = BodyReservation(server.body_memory)
 
+    def _abort(self) -> None:
+        """Close the connection and drop what its client has not read."""
+        sock = self.sock._socket
+        try:
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+            sock.shutdown(socket.SHUT_RDWR)
+        except OSError as error:
+            log_event("caller_gone", "DEBUG", cause=str(error))
+
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
         reader = await curio.spawn(self._read_requests, daemon=True)
@@ -120,7 +167,7 @@
 
     async def _cancel(self, open_request: OpenRequest) -> None:
         self.server.open_requests -= 1
-        open_request.body.release()
+        open_request.release()
         if open_request.task is not None:
             await open_request.task.cancel(blocking=False)
 
@@ -130,7 +177,8 @@
         try:
             while not self.input_ended:
                 await self._start_requests()
-                if len(self.pipeline) >= PIPELINE_DEPTH:
+                if self._is_full():
+                    self.parser.restart_timeout()
                     await curio.sleep(PIPELINE_POLL_S)
                     continue
                 data = await self._receive()
@@ -198,8 +246,11 @@
                 self._check_time()
                 await self._reserve_body()
                 break
-            open_request = OpenRequest(request, self.body)
+            open_request = OpenRequest(
+                request, self.body, request.response_memory
+            )
             self.body = BodyReservation(self.server.body_memory)
+            open_request.memory.first = not self.pipeline
             self.pipeline.append(open_request)
             self.server.open_requests += 1
             if request.method in IDEMPOTENT_METHODS or len(self.pipeline) == 1:
@@ -236,7 +287,24 @@
         """
         if self.server.stopped:
             return not self.pipeline
-        return len(self.pipeline) < PIPELINE_DEPTH
+        if not self.pipeline:
+            return True
+        return len(self.pipeline) < PIPELINE_DEPTH and not self._holds_much
+
+    @property
+    def _holds_much(self) -> bool:
+        held = sum(request.held_bytes for request in self.pipeline)
+        return held > MAX_PIPELINED_BYTES
+
+    def _is_full(self) -> bool:
+        """Tell whether no more input may be read.
+
+        Without unparsed input, reading detects that the caller has gone.
+        """
+        if len(self.pipeline) >= PIPELINE_DEPTH:
+            return True
+        waits = self.parser.head is None and not self.parser.is_idle
+        return waits and self._holds_much
 
     async def _start_handler(self, open_request: OpenRequest) -> None:
         open_request.task = await curio.spawn(
@@ -251,8 +319,21 @@
             log_event("request_crashed", "ERROR", cause=repr(error))
             response = Response(500, close=True)
         open_request.response = response
+        self._drop_body(open_request)
         await self.changed.set()
 
+    def _drop_body(self, open_request: OpenRequest) -> None:
+        """Free the body of a request whose response is ready.
+
+        The response may remain unread for long.
+        """
+        request = open_request.request
+        if len(request.body) <= UNCOUNTED_BYTES:
+            return
+        open_request.request = replace(request, body=b"")
+        self.parser.replace_unanswered(request, open_request.request)
+        open_request.body.release()
+
     async def _write_responses(self) -> None:
         while True:
             while not self.pipeline:
@@ -281,7 +362,9 @@
                 ERROR_HEADERS.get(self.error_status, ()),
                 close=True,
             )
-            self.sent_last = await self._send(encode_response(response, "GET"))
+            self.sent_last = await self._send(
+                [encode_response(response, "GET")]
+            )
 
     async def _write_next(self) -> bool:
         """Write the next response.
@@ -301,13 +384,15 @@
         )
         try:
             sent = await self._send(
-                self.parser.encode(response, open_request.request)
+                self.parser.encode_parts(response, open_request.request)
             )
         finally:
             self.pipeline.popleft()
+            if self.pipeline:
+                self.pipeline[0].memory.first = True
             self.idle_since_s = read_boot_clock()
             self.server.open_requests -= 1
-            open_request.body.release()
+            open_request.release()
         ended = self.parser.ended and not self.pipeline
         self.sent_last = sent and (close or ended)
         return sent and not self.sent_last
@@ -323,12 +408,22 @@
             await self.changed.wait()
         return open_request.response
 
-    async def _send(self, data: bytes) -> bool:
+    async def _send(self, parts: list[bytes | bytearray]) -> bool:
         try:
-            await self.sock.sendall(data)
+            for part in parts:
+                self.holder.progress_s = read_boot_clock()
+                if len(part) <= PIECE_BYTES:
+                    await self.sock.sendall(part)
+                    continue
+                view = memoryview(part)
+                for start in range(0, len(view), PIECE_BYTES):
+                    self.holder.progress_s = read_boot_clock()
+                    await self.sock.sendall(view[start : start + PIECE_BYTES])
         except OSError as error:
             log_event("caller_gone", "DEBUG", cause=str(error))
             return False
+        finally:
+            self.holder.progress_s = None
         return True
 
     async def fail_open_requests(self) -> None:
--- a/carawayvale/gateway/settings.py
+++ b/carawayvale/gateway/settings.py
@@ -5,6 +5,8 @@
 import math
 
 from carawayvale.contracts.address import Address
+from carawayvale.gateway.process_memory import PROCESS_SHARE
+from carawayvale.gateway.request_parser import MAX_HEAD_LINES
 
 
 @dataclass(frozen=True)
@@ -71,6 +73,9 @@
     :param link_mbps: bandwidth of the network link in Mbit/s.
     :param memory_mb: memory of the process in MB; 0 if it is not limited.
     :param max_files: maximum number of file descriptors of the process.
+    :param message_share: fraction of the memory for messages.
+    :param max_head_lines: maximum number of lines of the head of a caller's
+        request.
     """
 
     name: str
@@ -90,3 +95,5 @@
     link_mbps: float = 1000.0
     memory_mb: float = 0.0
     max_files: int = 1024
+    message_share: float = PROCESS_SHARE
+    max_head_lines: int = MAX_HEAD_LINES
--- a/carawayvale/gateway/upstream.py
+++ b/carawayvale/gateway/upstream.py
@@ -12,6 +12,8 @@
 from carawayvale.gateway.endpoint_pool import ignore_connect
 from carawayvale.gateway.endpoint_pool import RecordConnect
 from carawayvale.gateway.http_messages import Request
+from carawayvale.gateway.response_memory import NoMemory
+from carawayvale.gateway.response_memory import ResponseHold
 from carawayvale.links.http import ConnectFailed
 from carawayvale.links.http import ConnectionBroken
 from carawayvale.links.http import Headers
@@ -103,6 +105,8 @@
     :param disconnected: whether the connection to the endpoint broke.
     :param expected_wait: what the owner expects of the endpoint; None if the
         endpoint reports no pace.
+    :param no_memory: whether this instance had no memory for the response,
+        which says nothing about the endpoint.
     """
 
     outcome: UpstreamOutcome
@@ -115,6 +119,7 @@
     busy: bool = True
     disconnected: bool = False
     expected_wait: ExpectedWait | None = None
+    no_memory: bool = False
 
     @property
     def is_success(self) -> bool:
@@ -175,11 +180,14 @@
         except ConnectFailed as error:
             return UpstreamResult(UpstreamOutcome.UNSENT, cause=str(error))
         reusable = False
+        hold = ResponseHold(request.response_memory)
         if idempotent:
             self.abortable.setdefault(id(request), set()).add(client)
         try:
             async with curio.timeout_after(remaining_s + DEADLINE_MARGIN_S):
-                result = await self._exchange(client, request, remaining_s)
+                result = await self._exchange(
+                    client, request, remaining_s, hold
+                )
             reusable = result.outcome in (
                 UpstreamOutcome.ANSWERED,
                 UpstreamOutcome.NOT_RUN,
@@ -188,6 +196,10 @@
             result = UpstreamResult(
                 UpstreamOutcome.LATE, cause="no answer in time"
             )
+        except NoMemory as error:
+            result = UpstreamResult(
+                UpstreamOutcome.FAILED, cause=str(error), no_memory=True
+            )
         except ConnectionBroken as error:
             result = UpstreamResult(
                 UpstreamOutcome.FAILED, cause=str(error), disconnected=True
@@ -195,8 +207,11 @@
         finally:
             self._forget(request, client)
             if not reusable:
+                hold.release()
                 await client.close()
         if reusable:
+            if result.outcome is not UpstreamOutcome.ANSWERED:
+                hold.release()
             request_id = request.find(self.header_names.request_id)
             self.answered_ids[client] = request_id
             await self.pool.release(client)
@@ -219,7 +234,11 @@
             self.abortable.pop(id(request), None)
 
     async def _exchange(
-        self, client: HttpClient, request: Request, remaining_s: float
+        self,
+        client: HttpClient,
+        request: Request,
+        remaining_s: float,
+        hold: ResponseHold,
     ) -> UpstreamResult:
         headers = self._make_headers(request, remaining_s)
         await client.send_request(
@@ -227,7 +246,9 @@
         )
         for _ in range(MAX_LATE_COPIES + 1):
             head = await client.read_head()
-            body = await client.read_body(MAX_RESPONSE_BYTES)
+            hold.release()
+            hold.state(head.find(b"content-length"))
+            body = await client.read_body(MAX_RESPONSE_BYTES, hold.make_room)
             if not self._is_late_copy(client, request, head):
                 break
             if not client.skip_response(request.method):
--- a/carawayvale/links/http_client.py
+++ b/carawayvale/links/http_client.py
@@ -1,5 +1,7 @@
 """Client side of an HTTP/1.1 connection, with h11 on a curio socket."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import socket as plain_socket
 from ssl import SSLSocket
 from ssl import SSLWantReadError
@@ -30,6 +32,9 @@
 MAX_JOINED_BYTES = 1 << 16
 
 
+MakeRoom = Callable[[int], Awaitable[None]]
+
+
 class HttpClient:
     """Client side of one connection, for one exchange at a time.
 
@@ -177,10 +182,14 @@
             return b""
         raise ConnectionBroken("answer is truncated")
 
-    async def read_body(self, limit: int) -> bytes:
+    async def read_body(
+        self, limit: int, make_room: MakeRoom | None = None
+    ) -> bytes | bytearray:
         """Read the whole response body.
 
         :param limit: maximum size of the body in bytes.
+        :param make_room: called with the size of the body so far; reading
+            stops until it returns, and ends if it raises.
         :returns: the body.
         :raises ConnectionBroken: if the body is truncated, too large, or
             sent in more than MAX_BODY_PARTS parts.
@@ -189,10 +198,15 @@
         for _ in range(MAX_BODY_PARTS):
             chunk = await self.read_chunk()
             if not chunk:
-                return bytes(body)
-            body += chunk
-            if len(body) > limit:
+                # A large body is not copied.
+                small = len(body) <= MAX_JOINED_BYTES
+                return bytes(body) if small else body
+            size = len(body) + len(chunk)
+            if size > limit:
                 raise ConnectionBroken(f"answer exceeds {limit} bytes")
+            if make_room is not None:
+                await make_room(size)
+            body += chunk
         raise ConnectionBroken(f"answer exceeds {MAX_BODY_PARTS} parts")
 
     async def _next_event(self) -> h11.Event:
--- a/carawayvale/platform/settings.py
+++ b/carawayvale/platform/settings.py
@@ -11,6 +11,8 @@
 from carawayvale.contracts.findings import Finding
 from carawayvale.contracts.findings import InvalidInput
 from carawayvale.contracts.findings import Place
+from carawayvale.gateway.process_memory import PROCESS_SHARE
+from carawayvale.gateway.request_parser import MAX_HEAD_LINES
 from carawayvale.gateway.settings import Bounds
 from carawayvale.gateway.settings import GatewaySettings
 from carawayvale.platform.values import parse_address
@@ -31,6 +33,19 @@
 # variable is not set.
 DEFAULT_METRICS_PORT = 9464
 
+# Fraction of the memory of the process for messages, and the maximum number
+# of lines of the head of a caller's request.
+SHARE_VARIABLE = "CARAWAYVALE_MESSAGE_SHARE"
+HEAD_LINES_VARIABLE = "CARAWAYVALE_MAX_HEAD_LINES"
+SHARE_RANGE = (0.1, 0.9)
+HEAD_LINES_RANGE = (32, 8192)
+
+# Smallest memory and number of descriptors with which a process can serve;
+# without any load it takes 33 MB and about 20 descriptors.
+MIN_MEMORY_MB = 64
+MIN_FILES = 64
+DEFAULT_MAX_FILES = 1024
+
 # By name of a bound: the field of Bounds and the decoder of its value.
 BOUND_DECODERS: dict[str, tuple[str, Callable[[str], float]]] = {
     "stable_window": ("stable_s", parse_duration),
@@ -147,6 +162,47 @@
     return decode
 
 
+def _read_memory(table: Any) -> float:
+    """Read the memory of the process in MB; 0 if it is not limited."""
+    limits = table.get("limits") or {}
+    if limits.get("memory_mb") is None:
+        return 0.0
+    memory_mb = read_field(limits, "memory_mb", (int, float))
+    if memory_mb and not memory_mb >= MIN_MEMORY_MB:
+        raise ValueError(f"must be 0 or at least {MIN_MEMORY_MB}")
+    return memory_mb
+
+
+def _read_max_files(table: Any) -> int:
+    limits = table.get("limits") or {}
+    if limits.get("max_fds") is None:
+        return DEFAULT_MAX_FILES
+    max_files = read_field(limits, "max_fds", int)
+    if max_files < MIN_FILES:
+        raise ValueError(f"must be at least {MIN_FILES}")
+    return max_files
+
+
+def _make_variable_decoder(
+    variable: str, default: float, bounds: tuple[float, float]
+) -> Callable[[Any], float]:
+    """Make the decoder of a number in an environment variable.
+
+    Its value has the type of the default.
+    """
+
+    def decode(table: Any) -> float:
+        text = os.environ.get(variable, "")
+        value = type(default)(text) if text else default
+        if not bounds[0] <= value <= bounds[1]:
+            raise ValueError(
+                f"{variable} must be from {bounds[0]} to {bounds[1]}"
+            )
+        return value
+
+    return decode
+
+
 def _read_regions(table: Any) -> Mapping[str, str]:
     """Read the region of each failure domain, by name of the domain."""
     return dict(read_field(table, "zones", dict))
@@ -200,6 +256,12 @@
     "bounds": _read_bounds,
     "cpu_share": _make_limit_decoder("cpu_share", 1.0),
     "link_mbps": _make_limit_decoder("link_mbps", 1000.0),
-    "memory_mb": _make_limit_decoder("memory_mb", 0.0),
-    "max_files": _make_limit_decoder("max_fds", 1024),
+    "memory_mb": _read_memory,
+    "max_files": _read_max_files,
+    "message_share": _make_variable_decoder(
+        SHARE_VARIABLE, PROCESS_SHARE, SHARE_RANGE
+    ),
+    "max_head_lines": _make_variable_decoder(
+        HEAD_LINES_VARIABLE, MAX_HEAD_LINES, HEAD_LINES_RANGE
+    ),
 }
--- a/carawayvale/platform/tests/test_decoding.py
+++ b/carawayvale/platform/tests/test_decoding.py
@@ -15,7 +15,9 @@
 from carawayvale.platform.lookups import decode_lookup
 from carawayvale.platform.lookups import encode_addresses
 from carawayvale.platform.settings import decode_settings
+from carawayvale.platform.settings import HEAD_LINES_VARIABLE
 from carawayvale.platform.settings import load_gateway_settings
+from carawayvale.platform.settings import SHARE_VARIABLE
 from carawayvale.platform.source import encode_instance
 from carawayvale.platform.source import PlatformSource
 from carawayvale.platform.store_client import Lease
@@ -222,6 +224,43 @@
         assert settings.bounds.retry_extra == 120
         assert len(settings.seeds) == 2
 
+    # Guards against limits with which a process could serve nothing.
+    @pytest.mark.parametrize(
+        ("name", "value", "key"),
+        [
+            ("memory_mb", -1, "memory_mb"),
+            ("memory_mb", 5, "memory_mb"),
+            ("memory_mb", math.nan, "memory_mb"),
+            ("memory_mb", "152", "memory_mb"),
+            ("max_fds", 0, "max_files"),
+            ("max_fds", True, "max_files"),
+        ],
+    )
+    def test_an_absurd_limit_is_a_finding(self, name, value, key):
+        limits = {**SETTINGS["limits"], name: value}
+        with pytest.raises(InvalidInput) as caught:
+            decode_settings({**SETTINGS, "limits": limits}, "settings.json")
+        assert {f.place.key for f in caught.value.findings} == {key}
+
+    @pytest.mark.parametrize(
+        ("variable", "valid", "invalid", "key"),
+        [
+            (SHARE_VARIABLE, "0.5", ("0", "1.5", "x"), "message_share"),
+            (HEAD_LINES_VARIABLE, "64", ("1", "1e9"), "max_head_lines"),
+        ],
+    )
+    def test_variables_of_limits(
+        self, monkeypatch, variable, valid, invalid, key
+    ):
+        monkeypatch.setenv(variable, valid)
+        settings = decode_settings(SETTINGS, "settings.json")
+        assert getattr(settings, key) == float(valid)
+        for text in invalid:
+            monkeypatch.setenv(variable, text)
+            with pytest.raises(InvalidInput) as caught:
+                decode_settings(SETTINGS, "settings.json")
+            assert {f.place.key for f in caught.value.findings} == {key}
+
     def test_accepts_bounds_as_one_text(self):
         table = {**SETTINGS, "bounds": "drain=1s, grace=9s"}
         bounds = decode_settings(table, "settings.json").bounds
