A listener's limit holds in a burst of connections

Cause: a connection was counted when its task first ran; the listener accepts many before that, so a burst exceeded the limit. test_many_unfinished_heads failed once in five runs for it, with 305 of 256 descriptors.

Change: a connection is counted when it is accepted.

--- a/carawayvale/links/listener.py
+++ b/carawayvale/links/listener.py
@@ -94,7 +94,10 @@
             if len(self.tasks) >= self.limit:
                 await client.close()
                 continue
-            await curio.spawn(self._serve, client, daemon=True)
+            task = await curio.spawn(self._serve, client, daemon=True)
+            # Many connections may be accepted before their tasks run.
+            if not task.terminated:
+                self.tasks.add(task)
 
     async def _serve(self, client: Socket) -> None:
         task = await curio.current_task()
