Fewer large bodies at once after a crash that coincides with them

Cause: an endpoint crashes if the requests that it holds exceed its memory, and got the same amount again when it was back.

Change: the owner counts the bytes of bodies over 64 KiB at each endpoint. A crash with at least 1 MiB of them in progress limits the endpoint to half of what it held; further requests with large bodies are rejected as if it were full, and the entry tries other endpoints. The limit doubles every 30 s. A single body is always sent. Log event body_limit_lowered, metric body_limits.

--- a/carawayvale/gateway/endpoint_exchange.py
+++ b/carawayvale/gateway/endpoint_exchange.py
@@ -73,6 +73,7 @@
         self.owner_request = owner_request
         self.queued = queued
         self.others_in_flight = 0
+        self.held_bytes = 0
 
     @property
     def is_current(self) -> bool:
@@ -103,6 +104,8 @@
         now_s = read_boot_clock()
         owned.stated_limit.count_send(now_s)
         owned.in_flight[self.queued] = self.owner_request.request
+        size = len(self.owner_request.request.body)
+        owned.body_limit.begin(size)
         try:
             return await owned.upstream.send(
                 self.owner_request.request,
@@ -112,6 +115,7 @@
         finally:
             owned.in_flight.pop(self.queued, None)
             self.others_in_flight = len(owned.in_flight)
+            self.held_bytes = owned.body_limit.end(size)
 
     async def _report_end(self, result: UpstreamResult) -> UpstreamResult:
         """Report a crash during the request, or that it was answered.
@@ -124,8 +128,19 @@
         if not result.disconnected or not await has_crashed(self.owned):
             return result
         await self.context.crash_reports.record_crash(self.endpoint, request)
+        self._limit_bodies()
         return replace(result, outcome=UpstreamOutcome.CRASHED)
 
+    def _limit_bodies(self) -> None:
+        """Lower the limit of bodies if the endpoint held large ones."""
+        limit, now_s = self.owned.body_limit, read_boot_clock()
+        if limit.record_crash(
+            self.endpoint.started_ms, self.held_bytes, now_s
+        ):
+            self.context.observer.record_body_limit(
+                self.endpoint.name, self.held_bytes, limit.find_limit(now_s)
+            )
+
     def _record_notice(self, result: UpstreamResult) -> None:
         """Apply what the endpoint says of itself in its response."""
         notice = self.context.notices.record(self.endpoint, result)
--- a/carawayvale/gateway/observer.py
+++ b/carawayvale/gateway/observer.py
@@ -233,6 +233,24 @@
         kind = "malformed" if has_bad_load else "missing"
         self.metrics.count("load_reports", "valid" if is_valid else kind)
 
+    def record_body_limit(
+        self, endpoint: str, held_bytes: int, limit_bytes: float
+    ) -> None:
+        """Count and log that an endpoint gets fewer large bodies at once.
+
+        :param endpoint: name of the endpoint.
+        :param held_bytes: bytes of bodies that it held when it crashed.
+        :param limit_bytes: bytes that it may hold now.
+        """
+        self.metrics.count("body_limits", "lowered")
+        log_event(
+            "body_limit_lowered",
+            "WARNING",
+            endpoint=endpoint,
+            held_bytes=held_bytes,
+            limit_bytes=int(limit_bytes),
+        )
+
     def record_pause(
         self, service: str, endpoint: str, pause_s: float
     ) -> None:
--- a/carawayvale/gateway/owned_endpoint.py
+++ b/carawayvale/gateway/owned_endpoint.py
@@ -23,6 +23,7 @@
 from carawayvale.gateway.upstream import UpstreamResult
 from carawayvale.steering.admission import EndpointQueue
 from carawayvale.steering.admission import QueuedRequest
+from carawayvale.steering.body_limit import EndpointBodyLimit
 from carawayvale.steering.expected_waits import ExpectedWait
 from carawayvale.steering.health import EndpointHealth
 from carawayvale.steering.load_reports import EndpointLoad
@@ -82,6 +83,7 @@
         self.service = service
         self.queue = EndpointQueue(endpoint.slots)
         self.health = EndpointHealth()
+        self.body_limit = EndpointBodyLimit()
         self.upstream = self._make_upstream(endpoint)
         self.waiters: dict[QueuedRequest, SlotWaiter] = {}
         self.in_flight: dict[QueuedRequest, Request] = {}
@@ -193,6 +195,16 @@
             attempt.
         :returns: the result.
         """
+        size = len(owner_request.request.body)
+        if not self.body_limit.reserve(size, read_boot_clock()):
+            wait_s = self.queue.service_times.estimate(owner_request.key)
+            return UpstreamResult(UpstreamOutcome.FULL, wait_s, busy=False)
+        try:
+            return await self._serve(owner_request)
+        finally:
+            self.body_limit.release(size)
+
+    async def _serve(self, owner_request: OwnerRequest) -> UpstreamResult:
         if not self.is_available:
             return UpstreamResult(UpstreamOutcome.UNUSABLE)
         now_s = read_boot_clock()
