Under memory pressure, bodies that do not arrive are given up first

Cause: a body reserves the size that its head states before it arrives. One caller that stated 64 MiB and sent nothing kept the bodies of all others out until its own deadline, which the caller chooses.

Change: when a body waits for memory, the largest reservation is reset of those whose client sent less than 64 KiB in the last second. Without pressure nothing is closed.

--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -14,6 +14,7 @@
 from carawayvale.gateway.age_reports import AgeReports
 from carawayvale.gateway.body_memory import BodyMemory
 from carawayvale.gateway.body_memory import CALLER_BODIES_SHARE
+from carawayvale.gateway.body_memory import CALLER_STALL_S
 from carawayvale.gateway.body_memory import OWNER_BODIES_SHARE
 from carawayvale.gateway.change_feed import ChangeFeed
 from carawayvale.gateway.feed_notices import FeedNotices
@@ -131,7 +132,9 @@
             proxy_handler.handle,
             find_timeout=proxy_handler.find_timeout,
             body_memory=BodyMemory(
-                memory.find_share(CALLER_BODIES_SHARE), memory
+                memory.find_share(CALLER_BODIES_SHARE),
+                memory,
+                CALLER_STALL_S,
             ),
             memory_wait_s=MEMORY_WAIT_S,
             response_memory=ResponseMemory(memory),
--- a/carawayvale/gateway/server_connection.py
+++ b/carawayvale/gateway/server_connection.py
@@ -120,7 +120,7 @@
         self.input_ended = False
         self.error_status = 0
         self.sent_last = False
-        self.body = BodyReservation(server.body_memory)
+        self.body = BodyReservation(server.body_memory, self._abort)
 
     def _abort(self) -> None:
         """Close the connection and drop what its client has not read."""
@@ -249,7 +249,8 @@
             open_request = OpenRequest(
                 request, self.body, request.response_memory
             )
-            self.body = BodyReservation(self.server.body_memory)
+            self.body.complete()
+            self.body = BodyReservation(self.server.body_memory, self._abort)
             open_request.memory.first = not self.pipeline
             self.pipeline.append(open_request)
             self.server.open_requests += 1
@@ -277,6 +278,7 @@
             self._check_time()
             if read_boot_clock() >= refuse_s:
                 raise InvalidRequest(HTTP_UNAVAILABLE)
+            self.server.body_memory.close_stalled()
             await curio.sleep(MEMORY_POLL_S)
 
     def _may_start(self) -> bool:
--- a/carawayvale/gateway/tests/test_response_memory.py
+++ b/carawayvale/gateway/tests/test_response_memory.py
@@ -38,6 +38,7 @@
 MB = 1_000_000
 BODY_BYTES = 1_800_000
 TIMEOUT_S = 20.0
+POST = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n"
 GET = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
 
 
@@ -183,6 +184,14 @@
     return int(head.split()[1]), size
 
 
+async def is_closed(client):
+    """Wait for the end of a connection or for data on it."""
+    try:
+        return not await client.recv(1)
+    except ConnectionResetError:
+        return True
+
+
 async def request_unread(address):
     """Send a request, and leave its response unread."""
     client = await connect(address)
@@ -239,6 +248,44 @@
         run_server(scenario)
 
 
+class TestUploads:
+    # Guards against a client that states a large body, sends none of it, and
+    # so keeps all other callers from sending theirs.
+    def test_unsent_body_yields_to_one_that_is_sent(self):
+        async def handle(request):
+            return Response(200)
+
+        async def run():
+            memory = BodyMemory(MB, stall_s=0.2)
+            server = RequestServer(
+                handle, body_memory=memory, memory_wait_s=TIMEOUT_S
+            )
+            listener = Listener(
+                open_listener(Address("127.0.0.1", 0)), server.serve
+            )
+            task = await curio.spawn(listener.run, daemon=True)
+            head = POST % (8 * MB)
+            silent = await connect(listener.address)
+            await silent.sendall(head)
+            while not memory.used_bytes:
+                await curio.sleep(0.01)
+            # Without pressure it stays.
+            await curio.sleep(0.4)
+            assert memory.used_bytes
+            client = await connect(listener.address)
+            await client.sendall(POST % MB + bytes(MB))
+            async with curio.timeout_after(TIMEOUT_S):
+                assert await read_response(client) == (200, 0)
+                assert await is_closed(silent)
+            assert not memory.used_bytes
+            assert memory.process.counts == {"client_closed": 1}
+            await silent.close()
+            await client.close()
+            await task.cancel()
+
+        curio.run(run)
+
+
 class TestUpstream:
     # Guards against a refusal that claims that the request did not run.
     def test_response_without_memory_may_have_run(self, monkeypatch):
