Legal heads of many lines are served; restarted owners of quotas grant sooner

Heads: a fixed limit of 256 lines refused heads within the limit of bytes, also without any load. The memory of the lines of a large head is now reserved in the budget before the head is parsed, and only a shortage refuses it, with 503. The default limit of lines is one that a head of 16 KiB cannot reach. The port for forwarded requests accepts heads that are 4 KiB larger than those of callers, as instances add headers to them.

A process that has just started now grants the whole rate after 1.5 s, as the owner before it has ended, is as new, or hands over. An instance that got no token asks again when its turn has come.

--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -63,6 +63,9 @@
 # each other's memory end their waits after this time.
 OWNER_MEMORY_WAIT_S = 10.0
 
+# Size by which the head of a forwarded request may exceed that of callers.
+FORWARD_HEADER_BYTES = 4096
+
 # Fractions of the descriptors of the process that connections of callers,
 # and of other instances, may take; endpoints and links use the rest.
 CALLER_FILES_SHARE = 0.6
@@ -257,6 +260,11 @@
         configuration = node.catalogue.configuration
         if configuration is not None:
             self.caller_server.limits = configuration.limits
+            self.internal_server.limits = replace(
+                self.internal_server.limits,
+                header_bytes=configuration.limits.header_bytes
+                + FORWARD_HEADER_BYTES,
+            )
             if not node.leaving:
                 await self._join()
         self._update_seeds()
--- a/carawayvale/gateway/request_parser.py
+++ b/carawayvale/gateway/request_parser.py
@@ -17,10 +17,12 @@
 HTTP_CONTENT_TOO_LARGE = 413
 HTTP_HEADERS_TOO_LARGE = 431
 
-# Default of the maximum number of lines of a head. Each takes about 170 bytes
-# of memory when it is parsed, also if it is empty, so that a head takes less
-# than 64 KiB.
-MAX_HEAD_LINES = 256
+# Default of the maximum number of lines of a head. A head of 16 KiB, the
+# largest by default, cannot have more, as the shortest line has four bytes.
+MAX_HEAD_LINES = 4096
+
+# The memory of heads with fewer lines is not counted.
+COUNTED_HEAD_LINES = 256
 
 HEAD_END = re.compile(rb"\n\r?\n")
 
@@ -145,23 +147,31 @@
         """Parse the next part of the stream, if it has arrived."""
         if self.ended:
             return None
-        if self.head is None:
-            self._check_lines()
+        self._check_lines()
         try:
             event = self.http.next_event()
         except h11.RemoteProtocolError as error:
             raise InvalidRequest(error.error_status_hint) from None
         return None if event in (h11.NEED_DATA, h11.PAUSED) else event
 
-    def _check_lines(self) -> None:
-        """Bound the lines of the next head before h11 parses them."""
+    def count_head_lines(self) -> int:
+        """Count the lines of the next head, as far as it has arrived.
+
+        :returns: number of lines; 0 if there are few, or if the head of the
+            request in progress has been parsed.
+        """
+        if self.head is not None:
+            return 0
         data = self.http.trailing_data[0]
         # A head of that many lines has at least two bytes in each.
-        if len(data) <= 2 * self.max_head_lines:
-            return
+        if len(data) <= 2 * min(COUNTED_HEAD_LINES, self.max_head_lines):
+            return 0
         match = HEAD_END.search(data)
-        end = match.end() if match else len(data)
-        if data.count(b"\n", 0, end) > self.max_head_lines + 1:
+        return data.count(b"\n", 0, match.end() if match else len(data))
+
+    def _check_lines(self) -> None:
+        """Bound the lines of the next head before h11 parses them."""
+        if self.count_head_lines() > self.max_head_lines + 1:
             raise InvalidRequest(HTTP_HEADERS_TOO_LARGE)
 
     def restart_timeout(self) -> None:
--- a/carawayvale/gateway/server_connection.py
+++ b/carawayvale/gateway/server_connection.py
@@ -43,7 +43,7 @@
 # connection take more than this.
 MAX_PIPELINED_BYTES = 1 << 18
 
-# Estimated memory of a header of a parsed request.
+# Estimated memory of a header of a parsed request, also if it is empty.
 HEADER_BYTES = 170
 
 # A large response is written in pieces of this size.
@@ -78,6 +78,7 @@
     """A request of a connection that is not answered yet."""
 
     request: Request
+    head: BodyReservation
     body: BodyReservation
     memory: ResponseAccount
     task: curio.Task | None = None
@@ -85,6 +86,7 @@
 
     def release(self) -> None:
         """Return the memory of the request and its responses."""
+        self.head.release()
         self.body.release()
         self.memory.close()
 
@@ -120,7 +122,11 @@
         self.input_ended = False
         self.error_status = 0
         self.sent_last = False
-        self.body = BodyReservation(server.body_memory, self._abort)
+        self.head = self._make_reservation()
+        self.body = self._make_reservation()
+
+    def _make_reservation(self) -> BodyReservation:
+        return BodyReservation(self.server.body_memory, self._abort)
 
     def _abort(self) -> None:
         """Close the connection and drop what its client has not read."""
@@ -143,6 +149,7 @@
                 await self._linger()
         finally:
             await reader.cancel(blocking=False)
+            self.head.release()
             self.body.release()
             while self.pipeline:
                 await self._cancel(self.pipeline.popleft())
@@ -237,6 +244,7 @@
 
     async def _start_requests(self) -> None:
         while self._may_start():
+            await self._reserve_head()
             request = self.parser.parse_next()
             if self.parser.is_interrupted:
                 await curio.sleep(0)
@@ -247,10 +255,12 @@
                 await self._reserve_body()
                 break
             open_request = OpenRequest(
-                request, self.body, request.response_memory
+                request, self.head, self.body, request.response_memory
             )
+            self.head.complete()
             self.body.complete()
-            self.body = BodyReservation(self.server.body_memory, self._abort)
+            self.head = self._make_reservation()
+            self.body = self._make_reservation()
             open_request.memory.first = not self.pipeline
             self.pipeline.append(open_request)
             self.server.open_requests += 1
@@ -263,18 +273,36 @@
                 h11.InformationalResponse(status_code=100, headers=[])
             )
 
+    async def _reserve_head(self) -> None:
+        """Wait until there is memory for the lines of the next head.
+
+        It is reserved before the head is parsed, as its lines take many
+        times their bytes.
+        """
+        size = HEADER_BYTES * self.parser.count_head_lines()
+        await self._reserve(self.head, size, size)
+
     async def _reserve_body(self) -> None:
-        """Wait until there is memory for the rest of a request's body.
+        """Wait until there is memory for the rest of a request's body."""
+        parser = self.parser
+        if parser.head is not None:
+            await self._reserve(
+                self.body, len(parser.body), parser.stated_body_bytes
+            )
+
+    async def _reserve(
+        self,
+        reservation: BodyReservation,
+        arrived_bytes: int,
+        stated_bytes: int | None,
+    ) -> None:
+        """Wait until a reservation has the memory that it needs next.
 
         :raises InvalidRequest: if there is none in time; the request was
             not run, so its caller can try another instance.
         """
-        parser = self.parser
-        if parser.head is None:
-            return
         refuse_s = read_boot_clock() + self.server.memory_wait_s
-        stated_bytes = parser.stated_body_bytes
-        while not self.body.extend(len(parser.body), stated_bytes):
+        while not reservation.extend(arrived_bytes, stated_bytes):
             self._check_time()
             if read_boot_clock() >= refuse_s:
                 raise InvalidRequest(HTTP_UNAVAILABLE)
--- a/carawayvale/steering/quotas.py
+++ b/carawayvale/steering/quotas.py
@@ -39,6 +39,11 @@
 # Time in which an instance learns why it was handed a bucket.
 ADOPTION_S = 1.5
 
+# Time for which a process that has just started grants as a new owner. The
+# previous owner was an earlier process of its instance, which has ended, or
+# hands its bucket over by then, or is a new owner as well.
+STARTUP_S = 1.5
+
 # Time constant of the estimate of an organisation's demand.
 DEMAND_WINDOW_S = 1.0
 
@@ -429,6 +434,7 @@
         self.rules = rules
         self.buckets: dict[str, QuotaBucket] = {}
         self.limits: dict[str, QuotaLimit] = {}
+        self.started_s = now_s
         self.seen_s = now_s
         self.resumed_s = -math.inf
         self._number = 0
@@ -477,7 +483,7 @@
         limit = self.limits.get(organisation, limit)
         entry = self.ownership.find(organisation)
         owned = entry.name == self.ownership.own_name
-        full_rate_s = entry.since_s + self.rules.window_s
+        full_rate_s = entry.since_s + self._find_takeover_time(entry)
         bucket = self.buckets.get(organisation)
         if bucket is None:
             start_s = entry.since_s if owned else now_s
@@ -491,6 +497,14 @@
         bucket.set_limit(limit, now_s)
         return bucket
 
+    def _find_takeover_time(self, entry: OwnerEntry) -> float:
+        """Find for how long a new owner grants only a part of the rate."""
+        window_s = self.rules.window_s
+        if self.resumed_s > self.started_s:
+            return window_s
+        is_new_process = entry.since_s - self.started_s < window_s
+        return min(STARTUP_S, window_s) if is_new_process else window_s
+
     def grant(
         self,
         organisation: str,
@@ -674,8 +688,11 @@
         token = QuotaToken(self.organisation, owner, grant.number, expires_s)
         self._tokens.extend([token] * grant.tokens)
         if grant.empty_s > 0.0:
-            # A changed limit or owner is noticed after one validity.
-            wait_s = min(grant.empty_s, self.rules.validity_s)
+            # An instance asks again when its turn has come: with the next
+            # token, all instances would ask for each one. A changed limit or
+            # owner is noticed after one validity.
+            wait_s = max(grant.empty_s, grant.retry_s)
+            wait_s = min(wait_s, self.rules.validity_s)
             self.refused_until_s = sent_s + wait_s
             self.retry_at_s = sent_s + grant.retry_s
 
