--- a/benchmarks/quota_calls.py
+++ b/benchmarks/quota_calls.py
@@ -19,7 +19,7 @@
 from carawayvale.links.listener import open_listener
 from carawayvale.links.membership import Membership
 from carawayvale.links.messages import MemberRecord
-from carawayvale.steering.quotas import QuotaLimit
+from carawayvale.steering.quota_buckets import QuotaLimit
 
 CALLS = 3000
 HOST = "127.0.0.1"
--- a/carawayvale/gateway/quota_calls.py
+++ b/carawayvale/gateway/quota_calls.py
@@ -28,14 +28,14 @@
 from carawayvale.links.http import find_header
 from carawayvale.links.membership import Membership
 from carawayvale.links.messages import MemberRecord
-from carawayvale.steering.quotas import Grant
-from carawayvale.steering.quotas import Handover
-from carawayvale.steering.quotas import QuotaAccount
-from carawayvale.steering.quotas import QuotaLimit
-from carawayvale.steering.quotas import QuotaOwner
-from carawayvale.steering.quotas import QuotaOwnership
-from carawayvale.steering.quotas import QuotaRules
-from carawayvale.steering.quotas import QuotaToken
+from carawayvale.steering.quota_accounts import QuotaAccount
+from carawayvale.steering.quota_accounts import QuotaToken
+from carawayvale.steering.quota_buckets import Grant
+from carawayvale.steering.quota_buckets import QuotaLimit
+from carawayvale.steering.quota_buckets import QuotaRules
+from carawayvale.steering.quota_owners import Handover
+from carawayvale.steering.quota_owners import QuotaOwner
+from carawayvale.steering.quota_owners import QuotaOwnership
 from carawayvale.telemetry.logs import log_event
 
 SEPARATOR = ";"
--- a/carawayvale/gateway/request_context.py
+++ b/carawayvale/gateway/request_context.py
@@ -11,7 +11,7 @@
 from carawayvale.gateway.observer import format_ms
 from carawayvale.gateway.owner_request import OwnerRequest
 from carawayvale.gateway.upstream import UpstreamResult
-from carawayvale.steering.quotas import QuotaToken
+from carawayvale.steering.quota_accounts import QuotaToken
 from carawayvale.steering.region_shares import RegionShares
 from carawayvale.steering.warm_up import WarmUpChoices
 
--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -9,6 +9,7 @@
         "QueuedRequest",
         "Rejection",
     ),
+    "body_limit": ("EndpointBodyLimit",),
     "departures": ("Departures",),
     "expected_waits": (
         "choose_candidates",
@@ -16,6 +17,10 @@
         "ExpectedWaits",
         "parse_wait",
     ),
+    "fair_shares": (
+        "FairShares",
+        "find_weights",
+    ),
     "freshness": (
         "Freshness",
         "LinkDelay",
@@ -53,6 +58,21 @@
         "Quarantine",
         "SuspectRequest",
     ),
+    "quota_accounts": (
+        "QuotaAccount",
+        "QuotaToken",
+    ),
+    "quota_buckets": (
+        "Grant",
+        "QuotaBucket",
+        "QuotaLimit",
+        "QuotaRules",
+    ),
+    "quota_owners": (
+        "Handover",
+        "QuotaOwner",
+        "QuotaOwnership",
+    ),
     "rank_balance": ("RankBalance",),
     "rates": (
         "ColdRateLimit",
