What a reading of the whole change found: keys in findings, lengths, tokens

A configuration with a key in a wrong column showed it in a finding, which is logged; findings on rows of organisations now name the row only. Names that are used twice and keys that no caller can send are findings. An endpoint that stated a length of 10 GB for a small answer exhausted the budget of memory until the deadline; at most 8 MiB are reserved. An instance that grants itself tokens of a quota lost all returned ones but the first, and the token of a caller that left before the first attempt was lost. explain knows quota_unknown. Two fields of routes that nothing read are gone.

--- a/carawayvale/catalogue/records.py
+++ b/carawayvale/catalogue/records.py
@@ -106,8 +106,6 @@
     :param sticky: whether an endpoint where the object is warm responds
         faster.
     :param anonymous: whether its requests need no key of an organisation.
-    :param large_requests: whether its requests have large bodies.
-    :param large_responses: whether its responses have large bodies.
     """
 
     name: str
@@ -122,8 +120,6 @@
     allowed_regions: frozenset[str] = frozenset()
     sticky: bool = False
     anonymous: bool = False
-    large_requests: bool = False
-    large_responses: bool = False
 
 
 @dataclass(frozen=True)
--- a/carawayvale/commands/request_timeline.py
+++ b/carawayvale/commands/request_timeline.py
@@ -57,9 +57,14 @@
         "Status 429: organisation {organisation} has used up its quota over "
         "all instances; the caller may retry after {retry_s} s."
     ),
+    "quota_unknown": (
+        "Status 503: no owner of the quota of organisation {organisation} "
+        "answered; look for quota_call_failed at {instance}."
+    ),
     "old_configuration": (
         "Status 503: {instance} could not tell whether the key is valid, "
-        "because its configuration was too old; look for store_lost there."
+        "because its configuration was too old; look for "
+        "keyed_requests_refused and store_lost there."
     ),
     "no_region": (
         "Status 503: no region is allowed both for route {route} and for "
--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -24,9 +24,9 @@
 from carawayvale.gateway.owner_messages import QUOTA_HEADER
 from carawayvale.gateway.owner_messages import ReceivedOwnerRequest
 from carawayvale.gateway.owner_request import OwnerRequest
+from carawayvale.gateway.response_memory import MAX_RESPONSE_BYTES
 from carawayvale.gateway.response_memory import NoMemory
 from carawayvale.gateway.response_memory import ResponseHold
-from carawayvale.gateway.upstream import MAX_RESPONSE_BYTES
 from carawayvale.gateway.upstream import UpstreamOutcome
 from carawayvale.gateway.upstream import UpstreamResult
 from carawayvale.links.connections import ConnectionPool
--- a/carawayvale/gateway/proxy_handler.py
+++ b/carawayvale/gateway/proxy_handler.py
@@ -152,6 +152,7 @@
         try:
             result = await self.attempts.run(context) or context.fallback
         except curio.CancelledError:
+            self._return_token(context)
             self._record_outcome(
                 context,
                 RequestOutcome.ABANDONED,
@@ -159,8 +160,7 @@
             )
             raise
         if result is None:
-            if context.quota_token is not None and not context.attempted:
-                self.node.quotas.put_back(context.quota_token)
+            self._return_token(context)
             return self._make_failure_response(context)
         took_s = read_boot_clock() - request.arrived_s
         self.node.observer.record_response_time(context.rank, took_s)
@@ -171,6 +171,12 @@
         )
         return Response(result.status, result.headers, result.body)
 
+    def _return_token(self, context: RequestContext) -> None:
+        """Return the token of a request that was sent to no endpoint."""
+        was_sent = context.attempted or context.current
+        if context.quota_token is not None and not was_sent:
+            self.node.quotas.put_back(context.quota_token)
+
     def find_timeout(self, headers: Headers) -> float:
         """Find how long a caller waits for a response.
 
@@ -224,8 +230,8 @@
     ) -> tuple[tuple[bytes, bytes], ...]:
         """Replace the key of a caller by the name of its organisation."""
         names = self.header_names
-        secret = (names.credentials, names.organisation)
-        kept = tuple((n, v) for n, v in headers if n not in secret)
+        dropped = (names.credentials, names.organisation)
+        kept = tuple((n, v) for n, v in headers if n not in dropped)
         if organisation is None:
             return kept
         return (*kept, (names.organisation, organisation.name.encode()))
--- a/carawayvale/gateway/quota_calls.py
+++ b/carawayvale/gateway/quota_calls.py
@@ -338,7 +338,12 @@
         try:
             return _decode_grant(received)
         except ValueError as error:
-            log_event("quota_response", owner=owner, cause=repr(error))
+            log_event(
+                "quota_response_invalid",
+                "WARNING",
+                owner=owner,
+                cause=repr(error),
+            )
             return None
 
     async def _call(
@@ -385,10 +390,7 @@
         """
         now_s = read_boot_clock()
         name = token.organisation
-        if token.owner == self.own_name:
-            self.owner.take_back(name, token.number, 1, now_s)
-            self.observer.count_quota("returned")
-        elif self._find_account(name).put_back(token, now_s):
+        if self._find_account(name).put_back(token, now_s):
             self.observer.count_quota("returned")
 
     async def reconcile(self) -> None:
@@ -405,6 +407,10 @@
             await curio.spawn(self._hand_over, handover, daemon=True)
         for account in list(self.accounts.values()):
             for token, number in account.take_returned(now_s).items():
+                if token.owner == self.own_name:
+                    name = token.organisation
+                    self.owner.take_back(name, token.number, number, now_s)
+                    continue
                 await curio.spawn(self._send_back, token, number, daemon=True)
 
     def _follow_members(self, now_s: float) -> None:
--- a/carawayvale/gateway/response_memory.py
+++ b/carawayvale/gateway/response_memory.py
@@ -25,6 +25,10 @@
 # A response without a stated size is counted in steps of this size.
 STEP_BYTES = 1 << 20
 
+# Responses are held whole, so all slots of an endpoint that sends bytes
+# without end may fill this much memory each.
+MAX_RESPONSE_BYTES = 8 << 20
+
 # Fraction of the memory that responses may take that are behind others on
 # their connections. The ones before them cannot wait for memory that only
 # these would return.
@@ -234,7 +238,9 @@
         :param length: value of ``content-length``; None without one.
         """
         stated = length is not None and length.isdigit()
-        self.stated_bytes = int(length) if stated else 0
+        stated_bytes = int(length) if stated else 0
+        # A larger response is broken off when it exceeds the limit.
+        self.stated_bytes = min(stated_bytes, MAX_RESPONSE_BYTES)
 
     async def make_room(self, needed: int) -> None:
         """Wait for memory for the body up to a size.
--- a/carawayvale/gateway/tests/test_response_memory.py
+++ b/carawayvale/gateway/tests/test_response_memory.py
@@ -14,6 +14,7 @@
 from carawayvale.gateway.request_parser import MAX_HEAD_LINES
 from carawayvale.gateway.request_parser import RequestParser
 from carawayvale.gateway import response_memory
+from carawayvale.gateway.response_memory import MAX_RESPONSE_BYTES
 from carawayvale.gateway.response_memory import NoMemory
 from carawayvale.gateway.response_memory import ResponseAccount
 from carawayvale.gateway.response_memory import ResponseHold
@@ -124,6 +125,19 @@
 
         curio.run(run)
 
+    # Guards against a budget that one absurd length exhausts.
+    def test_a_stated_size_beyond_the_limit_reserves_the_limit(self):
+        async def run():
+            memory = make_memory()
+            account = ResponseAccount(ResponseHolder(memory, ignore_abort))
+            hold = ResponseHold(account)
+            hold.state(b"10000000000")
+            await hold.make_room(1)
+            assert memory.used_bytes <= MAX_RESPONSE_BYTES
+            account.close()
+
+        curio.run(run)
+
     def test_the_wait_for_memory_ends(self, monkeypatch):
         async def run():
             monkeypatch.setattr(response_memory, "WAIT_S", 0.1)
--- a/carawayvale/gateway/upstream.py
+++ b/carawayvale/gateway/upstream.py
@@ -12,6 +12,7 @@
 from carawayvale.gateway.endpoint_pool import ignore_connect
 from carawayvale.gateway.endpoint_pool import RecordConnect
 from carawayvale.gateway.http_messages import Request
+from carawayvale.gateway.response_memory import MAX_RESPONSE_BYTES
 from carawayvale.gateway.response_memory import NoMemory
 from carawayvale.gateway.response_memory import ResponseHold
 from carawayvale.links.http import ConnectFailed
@@ -29,10 +30,6 @@
 HTTP_MISDIRECTED = 421
 HTTP_SERVER_ERROR = 500
 
-# Responses are held whole, so all slots of an endpoint that sends bytes
-# without end may fill this much memory each.
-MAX_RESPONSE_BYTES = 8 << 20
-
 # Maximum number of late copies of earlier responses before a response.
 MAX_LATE_COPIES = 2
 
--- a/carawayvale/platform/configuration.py
+++ b/carawayvale/platform/configuration.py
@@ -17,6 +17,7 @@
 from carawayvale.platform.values import parse_duration
 from carawayvale.platform.values import read_field
 from carawayvale.platform.values import read_rows
+from carawayvale.steering.organisations import is_valid_key
 
 CONFIGURATION_KEY = "op/config"
 EVACUATE_PREFIX = "op/evacuate/"
@@ -28,8 +29,6 @@
 # A request may run more than once only if its route is of one of these
 # kinds. Any other kind, also an unknown one, may run only once.
 IDEMPOTENT_KINDS = frozenset({"safe", "download"})
-LARGE_REQUEST_KINDS = frozenset({"upload"})
-LARGE_RESPONSE_KINDS = frozenset({"download"})
 
 
 def decode_configuration(item: StoredItem) -> Configuration:
@@ -107,28 +106,51 @@
         rows = read_rows(table["tenants"])
     except ValueError as error:
         return {}, [_make_finding(source, "tenants", str(error))]
-    decoded, findings = _decode_rows(
-        source, "tenants", rows, _decode_organisation
-    )
+    decoded: list[OrganisationRecord] = []
+    findings = []
+    for number, row in enumerate(rows):
+        try:
+            decoded.append(_decode_organisation(row))
+        except DECODING_ERRORS:
+            # A key may stand in any column of a malformed row, so neither
+            # its values nor the message are shown.
+            message = "a value is missing, malformed or of the wrong type"
+            section = f"tenants:{number}"
+            findings.append(_make_finding(source, section, message))
+    findings += _check_unique(source, decoded)
+    return {record.name: record for record in decoded}, findings
+
+
+def _check_unique(
+    source: str, organisations: list[OrganisationRecord]
+) -> list[Finding]:
+    """Find names that are used twice, and keys of two organisations."""
+    findings = []
+    names: set[str] = set()
     holders: dict[str, str] = {}
-    for organisation in decoded:
+    for organisation in organisations:
+        if organisation.name in names:
+            section = f"tenants:{organisation.name}"
+            findings.append(
+                _make_finding(source, section, "the name is used twice")
+            )
+        names.add(organisation.name)
         for key in organisation.keys:
             holder = holders.setdefault(key, organisation.name)
             if holder != organisation.name:
                 section = f"tenants:{organisation.name}"
                 message = f"a key is that of {holder!r} too"
                 findings.append(_make_finding(source, section, message))
-    return {record.name: record for record in decoded}, findings
+    return findings
 
 
 def _decode_organisation(row: dict[str, Any]) -> OrganisationRecord:
-    keys = row.get("api_keys", [])
-    if not _is_list_of_keys(keys):
-        # The value is not shown, since keys are secret.
-        raise ValueError("api_keys has the wrong type")
+    keys = _read_optional(row, "api_keys", list, [])
+    if not all(isinstance(key, str) and is_valid_key(key) for key in keys):
+        raise ValueError("a key cannot be sent in a header")
     name = read_field(row, "name", str)
     if not name or not name.isprintable() or name != name.strip():
-        raise ValueError(f"name {name!r} cannot be sent in a header")
+        raise ValueError("the name cannot be sent in a header")
     record = OrganisationRecord(
         name=name,
         keys=tuple(keys),
@@ -137,17 +159,11 @@
         burst=float(_read_optional(row, "burst", NUMBER, 0.0)),
         allowed_regions=_read_allowed_regions(row),
     )
-    if record.rate_per_s < 0 or record.burst < 0:
-        raise ValueError("rate_per_s and burst must not be negative")
+    if min(record.rate_per_s, record.burst, record.rank or 0) < 0:
+        raise ValueError("priority, rate_per_s or burst is negative")
     return record
 
 
-def _is_list_of_keys(value: Any) -> bool:
-    return isinstance(value, list) and all(
-        isinstance(key, str) and key for key in value
-    )
-
-
 def _check_services_exist(
     source: str, route: RouteRecord, services: dict[str, ServiceRecord]
 ) -> list[Finding]:
@@ -184,12 +200,11 @@
     if not (prefix.startswith("/") and prefix.endswith("/")):
         raise ValueError(f"prefix {prefix!r} must start and end with a slash")
     timeout_s = parse_duration(row.get("timeout", "60s"))
-    kind = read_field(row, "kind", str)
     return RouteRecord(
         name=read_field(row, "name", str),
         host=read_field(row, "host", str).lower(),
         prefix=prefix,
-        idempotent=kind in IDEMPOTENT_KINDS,
+        idempotent=read_field(row, "kind", str) in IDEMPOTENT_KINDS,
         timeout_s=timeout_s,
         objective_s=parse_duration(row["target_latency"])
         if "target_latency" in row
@@ -200,8 +215,6 @@
         allowed_regions=_read_allowed_regions(row),
         sticky=_read_optional(row, "session_affinity", bool, False),
         anonymous=_read_optional(row, "anonymous", bool, False),
-        large_requests=kind in LARGE_REQUEST_KINDS,
-        large_responses=kind in LARGE_RESPONSE_KINDS,
     )
 
 
--- a/carawayvale/platform/tests/test_decoding.py
+++ b/carawayvale/platform/tests/test_decoding.py
@@ -187,11 +187,29 @@
         item = make_item("op/config", CONFIGURATION)
         assert decode_configuration(item).organisations == {}
 
-    @pytest.mark.parametrize("keys", ["secret", ["secret", 5], [""]])
+    @pytest.mark.parametrize(
+        "keys", ["secret", ["secret", 5], [""], ["sec ret"], ["s\xe9cret"]]
+    )
     def test_a_finding_on_keys_does_not_show_them(self, keys):
         with pytest.raises(InvalidInput) as raised:
             decode_organisations(["press", keys, 0, 0, 0, []])
+        assert "cret" not in str(raised.value.findings)
+
+    # Guards against a key in a finding, which is logged.
+    @pytest.mark.parametrize("column", range(6))
+    def test_a_finding_shows_no_key_in_another_column(self, column):
+        row = ["press", ["k1"], 0, 0, 0, []]
+        row[column] = {"secret": "secret"}
+        with pytest.raises(InvalidInput) as raised:
+            decode_organisations(row)
         assert "secret" not in str(raised.value.findings)
+        assert "tenants:0" in str(raised.value.findings)
+
+    def test_a_name_that_is_used_twice_is_a_finding(self):
+        with pytest.raises(InvalidInput, match="used twice"):
+            decode_organisations(
+                ["press", ["k1"], 0, 0, 0, []], ["press", ["k2"], 0, 0, 0, []]
+            )
 
     def test_a_key_of_two_organisations_is_a_finding_that_hides_it(self):
         with pytest.raises(InvalidInput) as raised:
--- a/carawayvale/steering/organisations.py
+++ b/carawayvale/steering/organisations.py
@@ -1,7 +1,7 @@
 """Identify the organisations of requests by their keys.
 
-A key is compared and then dropped: it is not kept with the request, so it
-cannot reach an endpoint, another instance, a log or a metric.
+A key is compared and then dropped: it is not sent on with the request, so it
+reaches no endpoint, no log and no metric.
 """
 
 from collections.abc import Iterable
@@ -16,6 +16,19 @@
 MAX_CREDENTIALS_BYTES = 1024
 
 CREDENTIALS = re.compile(rb"([!-~]+) +([!-~]+)")
+KEY = re.compile(r"[!-~]{1,1000}")
+
+
+def is_valid_key(key: str) -> bool:
+    """Tell whether callers can send a key.
+
+    :param key: the key.
+    :returns: whether it is one word of printable ASCII, and short enough.
+
+    >>> is_valid_key("k1"), is_valid_key("k 1"), is_valid_key("")
+    (True, False, False)
+    """
+    return KEY.fullmatch(key) is not None
 
 
 class RejectionReason(Enum):
