Names and shared code after a reading of the whole change

Two copies of the code that closes the largest stalled holder, and two loops that predict starts, are one each. Memory of responses: ConnectionMemory, RequestMemory, AttemptMemory. Time constants, tolerances and the head start of fair queueing are named so; reports of the age are sent and relayed. Behaviour is unchanged.

--- a/carawayvale/gateway/age_reports.py
+++ b/carawayvale/gateway/age_reports.py
@@ -117,7 +117,7 @@
             return
         self.age.freshness.advance(reading.revision)
         if self.age.freshness.record(reading):
-            await self._spread("")
+            await self._report_to_peers("")
 
     async def advance(self, revision: int) -> None:
         """Record that changes of a peer have been applied.
@@ -126,7 +126,7 @@
             changes.
         """
         if self.age.is_limited and self.age.freshness.advance(revision):
-            await self._pass_on("")
+            await self._relay("")
 
     async def greet(self, link: PeerLink) -> None:
         """Begin to measure a new link.
@@ -161,16 +161,16 @@
             if reading.is_later(state.known, 0.0):
                 state.known = reading
             if self.age.freshness.record(reading):
-                await self._pass_on(link.peer.name)
+                await self._relay(link.peer.name)
         if not (report.echo_ms and state.has_echoed):
             await self._send(state)
 
-    async def _pass_on(self, source: str) -> None:
+    async def _relay(self, source: str) -> None:
         """Report what a peer reported, except to those that hear the same."""
         if not self.peers.membership.is_full_mesh:
-            await self._spread(source)
+            await self._report_to_peers(source)
 
-    async def _spread(self, source: str) -> None:
+    async def _report_to_peers(self, source: str) -> None:
         """Report the age to the peers that know only earlier readings."""
         for link in self.peers.list_region_links(source):
             state = self._find_state(link)
--- a/carawayvale/gateway/body_memory.py
+++ b/carawayvale/gateway/body_memory.py
@@ -79,20 +79,10 @@
         self.process.release(size)
 
     def close_stalled(self) -> None:
-        """Close the largest holder whose client sends nothing.
-
-        The next one is closed after the memory of this one was returned.
-        """
-        if any(holder.closing for holder in self.holders):
-            return
-        since_s = read_boot_clock() - self.stall_s
-        stalled = [h for h in self.holders if h.progress_s <= since_s]
-        if not stalled:
-            return
-        largest = max(stalled, key=lambda h: h.reserved_bytes)
-        largest.closing = True
-        self.process.record("client_closed", held_bytes=largest.reserved_bytes)
-        largest.abort()
+        """Close the largest holder whose client sends nothing."""
+        self.process.close_largest(
+            self.holders, BodyReservation.has_stalled, self.stall_s
+        )
 
 
 def ignore_abort() -> None:
@@ -126,6 +116,14 @@
         self.progress_s = math.inf
         self.progress_bytes = 0
 
+    def has_stalled(self, since_s: float) -> bool:
+        """Tell whether the client has sent nothing for a time.
+
+        :param since_s: start of that time.
+        :returns: whether the body has not progressed since then.
+        """
+        return self.progress_s <= since_s
+
     def extend(self, arrived_bytes: int, stated_bytes: int | None) -> bool:
         """Reserve what the body needs next.
 
--- a/carawayvale/gateway/configuration_age.py
+++ b/carawayvale/gateway/configuration_age.py
@@ -13,10 +13,10 @@
 # report no age. In calm the age stays below the first one: at most two
 # waits of a watch, and the delays of the links.
 URGENT_SHARE = 0.5
-ALONE_SHARE = 0.75
+OWN_READING_SHARE = 0.75
 
 # Additional age for each position in the order of the watchers.
-ALONE_STEP_S = 0.05
+OWN_READING_STEP_S = 0.05
 
 
 class ConfigurationAge:
@@ -82,8 +82,8 @@
         :param position: position among the possible watchers.
         :returns: whether no peer reports a younger age in time.
         """
-        limit_s = ALONE_SHARE * self.find_bounds().revoke_s
-        return self.find_age(now_s) > limit_s + ALONE_STEP_S * position
+        limit_s = OWN_READING_SHARE * self.find_bounds().revoke_s
+        return self.find_age(now_s) > limit_s + OWN_READING_STEP_S * position
 
     def log_refusal(self, now_s: float, has_keys: bool) -> None:
         """Log that the refusal of keyed requests begins or ends.
--- a/carawayvale/gateway/endpoint_notices.py
+++ b/carawayvale/gateway/endpoint_notices.py
@@ -28,7 +28,7 @@
 )
 
 # A service whose endpoints reported no pace for this long reports none.
-PACE_HOLD_S = 30.0
+PACE_REPORTED_S = 30.0
 
 # Value of the header that marks the responses of a leaving endpoint.
 LEAVING = b"1"
@@ -151,7 +151,7 @@
             response that an owner passed on.
         """
         paced_s = self.paced_s.get(service)
-        return paced_s is not None and now_s - paced_s < PACE_HOLD_S
+        return paced_s is not None and now_s - paced_s < PACE_REPORTED_S
 
     def record(
         self, endpoint: EndpointRecord, result: UpstreamResult, owner: str = ""
--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -24,9 +24,9 @@
 from carawayvale.gateway.owner_messages import QUOTA_HEADER
 from carawayvale.gateway.owner_messages import ReceivedOwnerRequest
 from carawayvale.gateway.owner_request import OwnerRequest
+from carawayvale.gateway.response_memory import AttemptMemory
 from carawayvale.gateway.response_memory import MAX_RESPONSE_BYTES
 from carawayvale.gateway.response_memory import NoMemory
-from carawayvale.gateway.response_memory import ResponseHold
 from carawayvale.gateway.upstream import UpstreamOutcome
 from carawayvale.gateway.upstream import UpstreamResult
 from carawayvale.links.connections import ConnectionPool
@@ -87,7 +87,7 @@
     except ConnectFailed as error:
         raise OwnerUnreachable(str(error)) from None
     complete = False
-    hold = ResponseHold(owner_request.request.response_memory)
+    hold = AttemptMemory(owner_request.request.response_memory)
     request_id = owner_request.request.find(id_header) or b""
     forwards.add_request(owner, request_id)
     if owner_request.idempotent:
@@ -131,7 +131,7 @@
     owner_request: OwnerRequest,
     endpoint: str,
     id_header: bytes,
-    hold: ResponseHold,
+    hold: AttemptMemory,
 ) -> UpstreamResult:
     headers = encode_owner_request(owner_request, endpoint, read_boot_clock())
     request = owner_request.request
--- a/carawayvale/gateway/http_messages.py
+++ b/carawayvale/gateway/http_messages.py
@@ -5,7 +5,7 @@
 from functools import cached_property
 from hashlib import blake2b
 
-from carawayvale.gateway.response_memory import ResponseAccount
+from carawayvale.gateway.response_memory import RequestMemory
 from carawayvale.links.http import find_header
 
 FINGERPRINT_BYTES = 16
@@ -32,7 +32,7 @@
     body: bytes | bytearray
     arrived_s: float
     organisation: str = ""
-    response_memory: ResponseAccount | None = field(
+    response_memory: RequestMemory | None = field(
         default=None, compare=False, repr=False
     )
 
--- a/carawayvale/gateway/process_memory.py
+++ b/carawayvale/gateway/process_memory.py
@@ -1,7 +1,10 @@
 """The memory that a process may use for messages, and its log."""
 
+from collections.abc import Callable
+from collections.abc import Iterable
 import ctypes
 import math
+from typing import Protocol
 
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.telemetry.logs import log_event
@@ -23,6 +26,16 @@
 MAPPED_BYTES = 1 << 18
 
 
+class Holder(Protocol):
+    """Holder of reserved memory for one connection."""
+
+    closing: bool
+    reserved_bytes: int
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+
+
 class ProcessMemory:
     """Memory of the process for messages, as far as it is in use.
 
@@ -73,6 +86,33 @@
         """
         self.used_bytes -= size
 
+    def close_largest(
+        self,
+        holders: Iterable[Holder],
+        has_stalled: Callable[[Holder, float], bool],
+        stall_s: float,
+    ) -> None:
+        """Close the largest holder whose client makes no progress.
+
+        The next one is closed after the memory of this one was returned.
+
+        :param holders: all holders of one kind.
+        :param has_stalled: tells whether the client of a holder has made no
+            progress since a time.
+        :param stall_s: seconds without progress.
+        """
+        holders = list(holders)
+        if any(holder.closing for holder in holders):
+            return
+        since_s = read_boot_clock() - stall_s
+        stalled = [h for h in holders if has_stalled(h, since_s)]
+        if not stalled:
+            return
+        largest = max(stalled, key=lambda h: h.reserved_bytes)
+        largest.closing = True
+        self.record("client_closed", held_bytes=largest.reserved_bytes)
+        largest.abort()
+
     def record(self, event: str, **fields: object) -> None:
         """Count an event, and log it at most once in LOG_INTERVAL_S.
 
--- a/carawayvale/gateway/quota_calls.py
+++ b/carawayvale/gateway/quota_calls.py
@@ -108,7 +108,7 @@
 
 def _encode_grant(grant: Grant) -> Response:
     value = _encode(
-        grant.tokens, grant.number, f"{grant.retry_s:.4f}", grant.empty_s
+        grant.tokens, grant.number, f"{grant.retry_s:.4f}", grant.token_in_s
     )
     return Response(HTTP_OK, ((QUOTA_HEADER, value),))
 
@@ -218,7 +218,7 @@
                 if not answered:
                     break
         finally:
-            self._leave(name)
+            self._end_wait(name)
         return self._refuse("quota_unknown", UNKNOWN_RETRY_AFTER_S)
 
     def find_owner(self, name: str) -> str:
@@ -236,7 +236,7 @@
             self.accounts[name] = account
         return account
 
-    def _leave(self, name: str) -> None:
+    def _end_wait(self, name: str) -> None:
         """Note that a request no longer waits for a token."""
         self._waiting[name] -= 1
         if not self._waiting[name]:
@@ -258,7 +258,7 @@
         now_s = read_boot_clock()
         grant = self.owner.grant(account.organisation, limit, 1, 0, now_s)
         if not grant.tokens:
-            return self._refuse("quota", max(grant.retry_s, grant.empty_s))
+            return self._refuse("quota", max(grant.retry_s, grant.token_in_s))
         return self._count_token(
             QuotaToken(
                 account.organisation,
--- a/carawayvale/gateway/request_parser.py
+++ b/carawayvale/gateway/request_parser.py
@@ -9,7 +9,7 @@
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.http_messages import Response
-from carawayvale.gateway.response_memory import ResponseAccount
+from carawayvale.gateway.response_memory import RequestMemory
 from carawayvale.links.http import find_header
 from carawayvale.links.http import MAX_BODY_PARTS
 from carawayvale.links.turns import STEPS_PER_TURN
@@ -54,7 +54,7 @@
         self,
         limits: RequestLimits,
         max_head_lines: int = MAX_HEAD_LINES,
-        make_account: Callable[[], ResponseAccount | None] = lambda: None,
+        make_account: Callable[[], RequestMemory | None] = lambda: None,
     ):
         self.make_account = make_account
         self.limits = limits
--- a/carawayvale/gateway/response_memory.py
+++ b/carawayvale/gateway/response_memory.py
@@ -70,7 +70,7 @@
         self.limit_bytes = process.find_share(share)
         self.stall_s = stall_s
         self.used_bytes = 0
-        self.holders: set[ResponseHolder] = set()
+        self.holders: set[ConnectionMemory] = set()
 
     def reserve(self, size: int, first: bool = True) -> bool:
         """Reserve memory, if there is enough.
@@ -100,23 +100,13 @@
         self.process.release(size)
 
     def close_stalled(self) -> None:
-        """Close the largest holder whose client takes nothing.
-
-        The next one is closed after the memory of this one was returned.
-        """
-        if any(holder.closing for holder in self.holders):
-            return
-        since_s = read_boot_clock() - self.stall_s
-        stalled = [h for h in self.holders if h.has_stalled(since_s)]
-        if not stalled:
-            return
-        largest = max(stalled, key=lambda h: h.reserved_bytes)
-        largest.closing = True
-        self.process.record("client_closed", held_bytes=largest.reserved_bytes)
-        largest.abort()
+        """Close the largest holder whose client takes nothing."""
+        self.process.close_largest(
+            self.holders, ConnectionMemory.has_stalled, self.stall_s
+        )
 
 
-class ResponseHolder:
+class ConnectionMemory:
     """Memory of the responses of one connection.
 
     :param memory: memory of the port.
@@ -171,13 +161,13 @@
             self.memory.holders.discard(self)
 
 
-class ResponseAccount:
+class RequestMemory:
     """Memory of what is read for one request, in all its attempts.
 
     :param holder: memory of the connection of the request.
     """
 
-    def __init__(self, holder: ResponseHolder):
+    def __init__(self, holder: ConnectionMemory):
         self.holder = holder
         self.held_bytes = 0
         self.closed = False
@@ -218,13 +208,13 @@
         self.closed = True
 
 
-class ResponseHold:
+class AttemptMemory:
     """Memory of the response of one attempt while it is read.
 
     :param account: memory of the request; None if it is not counted.
     """
 
-    def __init__(self, account: ResponseAccount | None):
+    def __init__(self, account: RequestMemory | None):
         self.account = account
         self.held_bytes = 0
         self.stated_bytes = 0
--- a/carawayvale/gateway/server_connection.py
+++ b/carawayvale/gateway/server_connection.py
@@ -26,8 +26,8 @@
 from carawayvale.gateway.request_parser import encode_response
 from carawayvale.gateway.request_parser import InvalidRequest
 from carawayvale.gateway.request_parser import RequestParser
-from carawayvale.gateway.response_memory import ResponseAccount
-from carawayvale.gateway.response_memory import ResponseHolder
+from carawayvale.gateway.response_memory import ConnectionMemory
+from carawayvale.gateway.response_memory import RequestMemory
 from carawayvale.links.http import READ_BYTES
 from carawayvale.links.turns import STEPS_PER_READ
 from carawayvale.links.turns import TurnCounter
@@ -80,7 +80,7 @@
     request: Request
     head: BodyReservation
     body: BodyReservation
-    memory: ResponseAccount
+    memory: RequestMemory
     task: curio.Task | None = None
     response: Response | None = None
 
@@ -110,11 +110,11 @@
     def __init__(self, server: "RequestServer", sock: Socket):
         self.server = server
         self.sock = sock
-        self.holder = ResponseHolder(server.response_memory, self._abort)
+        self.holder = ConnectionMemory(server.response_memory, self._abort)
         self.parser = RequestParser(
             server.limits,
             server.max_head_lines,
-            lambda: ResponseAccount(self.holder),
+            lambda: RequestMemory(self.holder),
         )
         self.pipeline: deque[OpenRequest] = deque()
         self.changed = curio.Event()
--- a/carawayvale/gateway/tests/test_response_memory.py
+++ b/carawayvale/gateway/tests/test_response_memory.py
@@ -14,11 +14,11 @@
 from carawayvale.gateway.request_parser import MAX_HEAD_LINES
 from carawayvale.gateway.request_parser import RequestParser
 from carawayvale.gateway import response_memory
+from carawayvale.gateway.response_memory import AttemptMemory
+from carawayvale.gateway.response_memory import ConnectionMemory
 from carawayvale.gateway.response_memory import MAX_RESPONSE_BYTES
 from carawayvale.gateway.response_memory import NoMemory
-from carawayvale.gateway.response_memory import ResponseAccount
-from carawayvale.gateway.response_memory import ResponseHold
-from carawayvale.gateway.response_memory import ResponseHolder
+from carawayvale.gateway.response_memory import RequestMemory
 from carawayvale.gateway.response_memory import ResponseMemory
 from carawayvale.gateway.response_memory import UNCOUNTED_BYTES
 from carawayvale.gateway.server import RequestServer
@@ -57,7 +57,7 @@
 class TestHolder:
     def test_small_responses_of_a_connection_are_not_counted(self):
         memory = make_memory()
-        holder = ResponseHolder(memory, ignore_abort)
+        holder = ConnectionMemory(memory, ignore_abort)
         assert holder.extend(UNCOUNTED_BYTES)
         assert not memory.used_bytes
         assert holder.extend(10)
@@ -72,9 +72,9 @@
         memory = make_memory()
         bodies = BodyMemory(process=memory.process)
         assert bodies.reserve(100 * MB)
-        first = ResponseHolder(memory, ignore_abort)
+        first = ConnectionMemory(memory, ignore_abort)
         assert first.extend(8 * MB)
-        assert not ResponseHolder(memory, ignore_abort).extend(MB)
+        assert not ConnectionMemory(memory, ignore_abort).extend(MB)
 
     def test_bodies_leave_the_shares_of_responses(self):
         process = ProcessMemory(MEMORY_MB)
@@ -86,7 +86,7 @@
     def test_the_largest_client_that_takes_nothing_is_closed(self):
         memory, closed = make_memory(), []
         holders = [
-            ResponseHolder(memory, lambda n=n: closed.append(n))
+            ConnectionMemory(memory, lambda n=n: closed.append(n))
             for n in range(3)
         ]
         for holder, size in zip(holders, (200_000, 300_000, 400_000)):
@@ -109,8 +109,8 @@
     def test_stated_size_is_reserved_as_a_whole(self):
         async def run():
             memory = make_memory()
-            account = ResponseAccount(ResponseHolder(memory, ignore_abort))
-            hold = ResponseHold(account)
+            account = RequestMemory(ConnectionMemory(memory, ignore_abort))
+            hold = AttemptMemory(account)
             hold.state(b"500000")
             await hold.make_room(1)
             assert memory.used_bytes == 500_000 - UNCOUNTED_BYTES
@@ -129,8 +129,8 @@
     def test_a_stated_size_beyond_the_limit_reserves_the_limit(self):
         async def run():
             memory = make_memory()
-            account = ResponseAccount(ResponseHolder(memory, ignore_abort))
-            hold = ResponseHold(account)
+            account = RequestMemory(ConnectionMemory(memory, ignore_abort))
+            hold = AttemptMemory(account)
             hold.state(b"10000000000")
             await hold.make_room(1)
             assert memory.used_bytes <= MAX_RESPONSE_BYTES
@@ -142,10 +142,10 @@
         async def run():
             monkeypatch.setattr(response_memory, "WAIT_S", 0.1)
             memory = make_memory()
-            assert ResponseHolder(memory, ignore_abort).extend(2 * MB)
-            account = ResponseAccount(ResponseHolder(memory, ignore_abort))
+            assert ConnectionMemory(memory, ignore_abort).extend(2 * MB)
+            account = RequestMemory(ConnectionMemory(memory, ignore_abort))
             with pytest.raises(NoMemory):
-                await ResponseHold(account).make_room(MB)
+                await AttemptMemory(account).make_room(MB)
             assert memory.process.counts == {"response_dropped": 1}
 
         curio.run(run)
@@ -160,7 +160,7 @@
 
     async def handle(self, request):
         """Return a response of the size that fills most of the memory."""
-        hold = ResponseHold(request.response_memory)
+        hold = AttemptMemory(request.response_memory)
         try:
             await hold.make_room(BODY_BYTES)
         except NoMemory:
@@ -317,8 +317,8 @@
             listener = Listener(open_listener(Address("127.0.0.1", 0)), serve)
             task = await curio.spawn(listener.run, daemon=True)
             memory = make_memory()
-            assert ResponseHolder(memory, ignore_abort).extend(2 * MB)
-            account = ResponseAccount(ResponseHolder(memory, ignore_abort))
+            assert ConnectionMemory(memory, ignore_abort).extend(2 * MB)
+            account = RequestMemory(ConnectionMemory(memory, ignore_abort))
             request = Request(
                 "POST", "/x", HEADERS, b"", 0.0, response_memory=account
             )
--- a/carawayvale/gateway/upstream.py
+++ b/carawayvale/gateway/upstream.py
@@ -12,9 +12,9 @@
 from carawayvale.gateway.endpoint_pool import ignore_connect
 from carawayvale.gateway.endpoint_pool import RecordConnect
 from carawayvale.gateway.http_messages import Request
+from carawayvale.gateway.response_memory import AttemptMemory
 from carawayvale.gateway.response_memory import MAX_RESPONSE_BYTES
 from carawayvale.gateway.response_memory import NoMemory
-from carawayvale.gateway.response_memory import ResponseHold
 from carawayvale.links.http import ConnectFailed
 from carawayvale.links.http import ConnectionBroken
 from carawayvale.links.http import Headers
@@ -177,7 +177,7 @@
         except ConnectFailed as error:
             return UpstreamResult(UpstreamOutcome.UNSENT, cause=str(error))
         reusable = False
-        hold = ResponseHold(request.response_memory)
+        hold = AttemptMemory(request.response_memory)
         if idempotent:
             self.abortable.setdefault(id(request), set()).add(client)
         try:
@@ -235,7 +235,7 @@
         client: HttpClient,
         request: Request,
         remaining_s: float,
-        hold: ResponseHold,
+        hold: AttemptMemory,
     ) -> UpstreamResult:
         headers = self._make_headers(request, remaining_s)
         await client.send_request(
--- a/carawayvale/steering/admission.py
+++ b/carawayvale/steering/admission.py
@@ -348,10 +348,7 @@
     ) -> float:
         """Predict when a request would start behind others."""
         slots_free_s = self._list_free_times(now_s)
-        for position, other in enumerate(ahead):
-            allowed_s = self._find_allowed_start(now_s, position)
-            start_s = max(allowed_s, heapq.heappop(slots_free_s))
-            heapq.heappush(slots_free_s, start_s + other.service_time_s)
+        self._predict_finishes(ahead, slots_free_s, now_s)
         allowed_s = self._find_allowed_start(now_s, len(ahead))
         return max(allowed_s, heapq.heappop(slots_free_s))
 
@@ -371,10 +368,19 @@
         return slots_free_s
 
     def _predict_finishes(
-        self, requests: list[QueuedRequest], now_s: float
+        self,
+        requests: list[QueuedRequest],
+        slots_free_s: list[float],
+        now_s: float,
     ) -> list[float]:
-        """Predict when requests finish if they start in a given order."""
-        slots_free_s = self._list_free_times(now_s)
+        """Predict when requests finish if they start in a given order.
+
+        :param requests: the requests in that order.
+        :param slots_free_s: times at which the slots become free, as a
+            heap; they are then those after the last request.
+        :param now_s: the time.
+        :returns: the times at which the requests finish.
+        """
         finishes_s = []
         for position, request in enumerate(requests):
             allowed_s = self._find_allowed_start(now_s, position)
@@ -527,7 +533,8 @@
         endpoint.
         """
         ordered = self._order_shares(self.waiting, now_s)
-        finishes_s = self._predict_finishes(ordered, now_s)
+        slots_free_s = self._list_free_times(now_s)
+        finishes_s = self._predict_finishes(ordered, slots_free_s, now_s)
         overtaken = []
         latest: dict[tuple[QueueClass, int], float] = {}
         for request, finish_s in zip(ordered, finishes_s):
--- a/carawayvale/steering/fair_shares.py
+++ b/carawayvale/steering/fair_shares.py
@@ -3,7 +3,7 @@
 Each organisation has a line of requests for each class and rank. A request
 starts in the order of its virtual start time, which follows the end of the
 previous one of its line. If the line was empty, it is the virtual time of the
-queue less a credit. The virtual length of a request is its service time
+queue less a head start. The virtual length of a request is its service time
 divided by the weight of its organisation.
 """
 
@@ -24,7 +24,7 @@
 # Requests by which a line that was empty may be ahead of its share. Requests
 # arrive at random times, and those of a small organisation would otherwise
 # wait for its next turn whenever two arrive together.
-CREDIT_REQUESTS = 2.0
+HEAD_START_REQUESTS = 2.0
 
 # Time constant of the shares of the demand.
 DEMAND_WINDOW_S = 5.0
@@ -196,8 +196,10 @@
             if line.base is None:
                 time = self._times.get(key[:2], 0.0)
                 length = _find_length(requests[0])
-                credit = CREDIT_REQUESTS * length / self.find_weight(key[2])
-                line.base = max(time - credit, line.finish)
+                lead = (
+                    HEAD_START_REQUESTS * length / self.find_weight(key[2])
+                )
+                line.base = max(time - lead, line.finish)
 
     def record_start(self, request: Queued) -> None:
         """Record that the first request of its line starts.
--- a/carawayvale/steering/load_reports.py
+++ b/carawayvale/steering/load_reports.py
@@ -26,7 +26,7 @@
 
 # A deviation of the pace from its mean fades with this time constant. It
 # changes many times a second, so that little of it is left after 0.1 s.
-PACE_MEMORY_S = 0.1
+PACE_TIME_CONSTANT_S = 0.1
 
 # Time constant of the moving mean of the pace. In the simulated paces of
 # tests/test_load_reports.py, 0.75 s and 1.5 s were no better at any rate of
@@ -51,7 +51,7 @@
 
 # The work of others fades with this time constant without a report; it is
 # in the order of the runs that it consists of.
-OTHERS_MEMORY_S = 1.0
+OTHERS_TIME_CONSTANT_S = 1.0
 
 # Weight of a new report in the mean number of requests of others.
 OTHERS_WEIGHT = 0.5
@@ -161,7 +161,7 @@
 
     def _find_others(self, now_s: float) -> float:
         age_s = max(0.0, now_s - self.reported_s)
-        return self.others * math.exp(-age_s / OTHERS_MEMORY_S)
+        return self.others * math.exp(-age_s / OTHERS_TIME_CONSTANT_S)
 
     def predict_pace(self, run_s: float, now_s: float) -> float:
         """Predict the mean pace of a run that starts now.
@@ -174,9 +174,11 @@
             return 1.0
         mean = self._find_mean(now_s)
         age_s = max(0.0, now_s - self.reported_s)
-        runs = max(run_s, 0.001) / PACE_MEMORY_S
+        runs = max(run_s, 0.001) / PACE_TIME_CONSTANT_S
         # Mean of the fading deviation over the run.
-        weight = math.exp(-age_s / PACE_MEMORY_S) * -math.expm1(-runs) / runs
+        weight = (
+            math.exp(-age_s / PACE_TIME_CONSTANT_S) * -math.expm1(-runs) / runs
+        )
         return mean + weight * (self.report.pace - mean)
 
     def measure_pace(self, start_s: float, now_s: float) -> float:
--- a/carawayvale/steering/quota_accounts.py
+++ b/carawayvale/steering/quota_accounts.py
@@ -81,11 +81,11 @@
         expires_s = sent_s + self.rules.validity_s
         token = QuotaToken(self.organisation, owner, grant.number, expires_s)
         self._tokens.extend([token] * grant.tokens)
-        if grant.empty_s > 0.0:
+        if grant.token_in_s > 0.0:
             # An instance asks again when its turn has come: with the next
             # token, all instances would ask for each one. A changed limit or
             # owner is noticed after one validity.
-            wait_s = max(grant.empty_s, grant.retry_s)
+            wait_s = max(grant.token_in_s, grant.retry_s)
             wait_s = min(wait_s, self.rules.validity_s)
             self.refused_until_s = sent_s + wait_s
             self.retry_at_s = sent_s + grant.retry_s
--- a/carawayvale/steering/quota_buckets.py
+++ b/carawayvale/steering/quota_buckets.py
@@ -72,10 +72,10 @@
         >>> QuotaLimit(20.0, 20.0).find_capacity(QuotaRules())
         31.0
         """
-        spare = self._find_spare(rules)
-        return max(1.0, self.burst + CAPACITY_FRACTION * spare)
+        tolerance = self._find_tolerance(rules)
+        return max(1.0, self.burst + CAPACITY_FRACTION * tolerance)
 
-    def _find_spare(self, rules: QuotaRules) -> float:
+    def _find_tolerance(self, rules: QuotaRules) -> float:
         """Find what may be exceeded, apart from the excess of the rate.
 
         The validity of the tokens already uses the excess of the rate.
@@ -93,11 +93,11 @@
         >>> round(QuotaLimit(900.0, 20.0).find_takeover_rate(QuotaRules()), 2)
         1.54
         """
-        spare = self._find_spare(rules) + self.burst
-        spare -= self.find_capacity(rules)
+        rest = self._find_tolerance(rules) + self.burst
+        rest -= self.find_capacity(rules)
         period_s = rules.window_s + rules.validity_s + TAKEOVER_SAVED_S
         return min(
-            TAKEOVER_FRACTION * self.rate, max(0.0, spare - 1.0) / period_s
+            TAKEOVER_FRACTION * self.rate, max(0.0, rest - 1.0) / period_s
         )
 
 
@@ -109,13 +109,13 @@
     :param number: number of the grant, unique at the owner.
     :param retry_s: if no token is left, seconds until a refused request
         that is repeated is likely to get one.
-    :param empty_s: seconds until the bucket has a token.
+    :param token_in_s: seconds until the bucket has a token.
     """
 
     tokens: int
     number: int = 0
     retry_s: float = 0.0
-    empty_s: float = 0.0
+    token_in_s: float = 0.0
 
 
 @dataclass
@@ -229,11 +229,11 @@
         if tokens + ahead:
             self._forget_expired(now_s)
             self._grants[number] = IssuedGrant(now_s, tokens + ahead)
-        retry_s = empty_s = 0.0
+        retry_s = token_in_s = 0.0
         if tokens < waiting:
-            empty_s = self._find_wait(1.0, now_s)
-            retry_s = self._promise(waiting - tokens, empty_s, now_s)
-        return Grant(tokens + ahead, number, retry_s, empty_s)
+            token_in_s = self._find_wait(1.0, now_s)
+            retry_s = self._promise(waiting - tokens, token_in_s, now_s)
+        return Grant(tokens + ahead, number, retry_s, token_in_s)
 
     def _find_wait(self, tokens: float, now_s: float) -> float:
         """Find the seconds until the bucket has a number of tokens."""
@@ -247,12 +247,12 @@
         missing -= slow_left_s * rate
         return slow_left_s + missing / self.limit.rate
 
-    def _promise(self, number: int, empty_s: float, now_s: float) -> float:
+    def _promise(self, number: int, token_in_s: float, now_s: float) -> float:
         """Find when refused requests may return, one token for each.
 
         Those that were refused before them return first.
         """
-        first_s = max(now_s + empty_s, self.promised_s)
+        first_s = max(now_s + token_in_s, self.promised_s)
         self.promised_s = min(
             first_s + number / self.limit.rate, now_s + self.rules.window_s
         )
--- a/carawayvale/steering/quota_owners.py
+++ b/carawayvale/steering/quota_owners.py
@@ -19,7 +19,8 @@
 # may have taken over its quotas meanwhile.
 PAUSE_THRESHOLD_S = 1.5
 
-# Time in which an instance learns why it was handed a bucket.
+# Time for which an adopted bucket is kept although the member list names
+# another owner.
 ADOPTION_S = 1.5
 
 # Time for which a process that has just started grants as a new owner. The
--- a/carawayvale/steering/rank_balance.py
+++ b/carawayvale/steering/rank_balance.py
@@ -12,7 +12,7 @@
 import math
 
 # Time constant of the measured shares.
-MEMORY_S = 5.0
+TIME_CONSTANT_S = 5.0
 
 # A rank counts only with as many requests.
 MIN_REQUESTS = 3.0
@@ -38,7 +38,7 @@
         """
         elapsed_s = now_s - self.updated_s
         if elapsed_s > 0:
-            factor = math.exp(-elapsed_s / MEMORY_S)
+            factor = math.exp(-elapsed_s / TIME_CONSTANT_S)
             self.served *= factor
             self.lost *= factor
             self.updated_s = now_s
--- a/carawayvale/steering/region_shares.py
+++ b/carawayvale/steering/region_shares.py
@@ -17,7 +17,7 @@
 HASH_RANGE = float(1 << 64)
 
 # Time constant of the measured shares.
-MEMORY_S = 1.5
+TIME_CONSTANT_S = 1.5
 
 # Number of requests taken as accepted in addition to the measured ones, so
 # that a few rejections after a silence decide nothing.
@@ -69,7 +69,7 @@
     def _decay(self, now_s: float) -> None:
         elapsed_s = now_s - self.updated_s
         if elapsed_s > 0:
-            factor = math.exp(-elapsed_s / MEMORY_S)
+            factor = math.exp(-elapsed_s / TIME_CONSTANT_S)
             self.asked *= factor
             self.rejected *= factor
             self.updated_s = now_s
