--- a/carawayvale/steering/fair_shares.py
+++ b/carawayvale/steering/fair_shares.py
@@ -196,9 +196,7 @@
             if line.base is None:
                 time = self._times.get(key[:2], 0.0)
                 length = _find_length(requests[0])
-                lead = (
-                    HEAD_START_REQUESTS * length / self.find_weight(key[2])
-                )
+                lead = HEAD_START_REQUESTS * length / self.find_weight(key[2])
                 line.base = max(time - lead, line.finish)
 
     def record_start(self, request: Queued) -> None:
