--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,106 +1,202 @@
-"""The operator raises max_body_bytes while clients keep connections open.
+"""A gateway is suspended while endpoints leave without notice.
 
-Without TROUBLE the first configuration has the higher limit already.
+Endpoints are replaced. A new one has joined when the gateway that watches the
+store is suspended (SIGSTOP), like a machine that loses power or is suspended.
+Just after, the entries of three endpoints are removed from the store, as
+those of endpoints that never report draining; they go on serving. Without TROUBLE no process is suspended.
 """
 
 import asyncio
 from pathlib import Path
+import signal
 import sys
+import time
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "common-2"))
 
+from harness import call  # noqa: E402
+from harness import CaseNotRun  # noqa: E402
 from harness import Endpoint  # noqa: E402
 from harness import Fleet  # noqa: E402
 from harness import make_configuration  # noqa: E402
 from harness import make_request  # noqa: E402
-from harness import read_message  # noqa: E402
 from harness import run_case  # noqa: E402
+from harness import Store  # noqa: E402
 
-LOW, HIGH = 1 << 20, 4 << 20
-BODY = b"b" * (2 << 20)
+GATEWAYS = 4
+ENDPOINTS = 12
+LEAVING = 3
+DRAIN_S = 2.5
+# Time for a request on its way; later arrivals count.
+SLACK_S = 0.05
+WATCHER_TIMEOUT_S = 40.0
+SUSPENDED_S = 5.0
+# Endpoints are replaced: a new one joins this long before the others leave.
+JOINED_S = 0.3
 CLIENTS = 24
-APPLY_S = 2.5
-# Long enough that only the second configuration may be in force.
-WAIT_S = 2 * APPLY_S
-ALLOWED, SHARE = 5, 500
-
-
-def configure(version, body_bytes):
-    """Make a configuration with a limit of bodies."""
-    routes = [
-        {"name": "r", "prefix": "/read/", "kind": "safe", "service": "s1"},
-        {"name": "b", "prefix": "/book/", "kind": "unsafe", "service": "s1"},
-    ]
-    configuration = make_configuration(routes, ["s1"], version)
-    configuration["limits"]["max_body_bytes"] = body_bytes
-    return configuration
-
-
-async def send(client, request_id, method, path, body=None):
-    """Send one request on a client's connection; return the status."""
-    reader, writer = client
-    writer.write(
-        make_request(
-            method, path, request_id, [("X-Deadline-Ms", "4000")], body
+
+
+class WatchedStore(Store):
+    """Store with one port for each gateway, to tell who watches."""
+
+    def __init__(self):
+        super().__init__()
+        self.watched_s = {}
+        self.addresses = []
+
+    async def open_ports(self, count):
+        """Open a port for each gateway."""
+        for number in range(count):
+            server = await asyncio.start_server(
+                lambda r, w, n=number: self._serve_gateway(n, r, w),
+                "127.0.0.1",
+                0,
+            )
+            port = server.sockets[0].getsockname()[1]
+            self.addresses.append(f"127.0.0.1:{port}")
+
+    async def _serve_gateway(self, number, reader, writer):
+        await self._serve(NotingReader(self, number, reader), writer)
+
+    def list_watchers(self, within_s):
+        """List the gateways that watched lately."""
+        now_s = time.monotonic()
+        return [
+            n for n, time_s in self.watched_s.items() if now_s - time_s < within_s
+        ]
+
+
+class NotingReader:
+    """Reader of a gateway's calls that notes when it watches."""
+
+    def __init__(self, store, number, reader):
+        self.store = store
+        self.number = number
+        self.reader = reader
+
+    async def readuntil(self, separator):
+        """Read the head of a call."""
+        data = await self.reader.readuntil(separator)
+        if data.startswith(b"GET /kv-watch"):
+            self.store.watched_s[self.number] = time.monotonic()
+        return data
+
+    async def readexactly(self, size):
+        """Read the body of a call."""
+        return await self.reader.readexactly(size)
+
+
+async def find_watcher(fleet):
+    """Wait until a single gateway watches the store."""
+    until_s = time.monotonic() + WATCHER_TIMEOUT_S
+    while time.monotonic() < until_s:
+        watchers = fleet.store.list_watchers(2.5)
+        if len(watchers) == 1:
+            return fleet.gateways[watchers[0]]
+        await asyncio.sleep(0.2)
+    raise CaseNotRun("no single gateway watches the store")
+
+
+async def send_requests(fleet, number, sent, state):
+    """Send requests one after the other to the running gateways."""
+    count = 0
+    while not state["done"]:
+        count += 1
+        choices = [g for g in fleet.gateways if g is not state["suspended"]]
+        gateway = choices[(number + count) % len(choices)]
+        request_id = f"c{number}-{count}"
+        data = make_request(
+            "GET",
+            "/read/a",
+            request_id,
+            [("X-Deadline-Ms", "2000"), ("Connection", "close")],
         )
-    )
-    try:
-        await writer.drain()
-        response = await asyncio.wait_for(read_message(reader), 6.0)
-    except (OSError, asyncio.TimeoutError) as error:
-        return type(error).__name__
-    return response.status if response else "closed"
+        sent_s = time.monotonic()
+        try:
+            response = await call(gateway.find_address("front"), data, 2.5)
+            answer = response.status if response else "closed"
+        except (OSError, asyncio.TimeoutError) as error:
+            answer = type(error).__name__
+        sent[request_id] = (gateway.name, sent_s, answer)
+        await asyncio.sleep(0.05)
 
 
 async def play(record, trouble):
-    """Send large bodies on kept and on new connections after the change."""
-    fleet = Fleet({"ekm-a": "ernakulam"}, ["ekm-a", "ekm-a"])
+    """Suspend the watcher, remove the entries, and look who gets requests."""
+    fleet = Fleet({"ekm-a": "ernakulam"}, ["ekm-a"] * GATEWAYS)
+    fleet.store = WatchedStore()
+    sent, state = {}, {"done": False, "suspended": None}
     try:
+        await fleet.store.open_ports(GATEWAYS)
+        for gateway, address in zip(fleet.gateways, fleet.store.addresses):
+            gateway.store_address = address
+        routes = [
+            {"name": "r", "prefix": "/read/", "kind": "safe", "service": "s1"}
+        ]
         await fleet.start(
-            configure(1, LOW if trouble else HIGH),
-            [Endpoint(f"i-{n}", "s1", "ekm-a") for n in range(4)],
+            make_configuration(routes, ["s1"]),
+            [Endpoint(f"i-{n}", "s1", "ekm-a") for n in range(ENDPOINTS)],
         )
-        addresses = [g.find_address("front") for g in fleet.gateways]
-        kept = [
-            await asyncio.open_connection(*addresses[n % 2])
+        watcher = await find_watcher(fleet)
+        clients = [
+            asyncio.create_task(send_requests(fleet, n, sent, state))
             for n in range(CLIENTS)
         ]
-        for number, client in enumerate(kept):
-            status = await send(client, f"first-{number}", "GET", "/read/a")
-            record.write(f"first-{number} GET on its connection -> {status}")
-        fleet.store.put("op/config", configure(2, HIGH))
-        record.write(f"version 2 with max_body_bytes {HIGH} is acknowledged")
-        await asyncio.sleep(WAIT_S)
-        statuses = []
-        for number, client in enumerate(kept):
-            new = await asyncio.open_connection(*addresses[number % 2])
-            for kind, used in (("kept", client), ("new", new)):
-                request_id = f"{kind}-{number}"
-                status = await send(used, request_id, "POST", "/book/a", BODY)
-                record.write(
-                    f"{request_id} POST of {len(BODY)} bytes on a {kind}"
-                    f" connection -> {status}"
-                )
-                statuses.append(status)
-                used[1].close()
-        return judge(record, statuses)
+        await asyncio.sleep(3.0)
+        record.write(f"{watcher.name} watches the store")
+        await fleet.add_endpoint(Endpoint("i-new", "s1", "ekm-a"))
+        record.write("the store has acknowledged a new endpoint")
+        await asyncio.sleep(JOINED_S)
+        if trouble:
+            state["suspended"] = watcher
+            watcher.process.send_signal(signal.SIGSTOP)
+            record.write(f"{watcher.name} is suspended")
+        await asyncio.sleep(0.05)
+        removed_s = remove_entries(record, fleet)
+        await asyncio.sleep(SUSPENDED_S)
+        state["done"] = True
+        await asyncio.gather(*clients)
+        return judge(record, fleet, sent, removed_s)
     finally:
         await fleet.stop()
 
 
-def judge(record, statuses):
-    """Compare the refusals with the bound of the rule."""
-    total = len(statuses) + CLIENTS
-    refused = sum(s in (400, 401, 403, 404, 413, 431) for s in statuses)
-    bound = ALLOWED + total / SHARE
-    record.write(f"{refused} of {total} requests refused; bound {bound:.2f}")
-    if refused <= bound:
-        return []
-    return [
-        f"DENIED: {refused} of {total} proper requests were refused for good"
-        f" later than config_apply; the bound is {bound:.2f}"
-    ]
+def remove_entries(record, fleet):
+    """Remove the entries of some endpoints; return the time."""
+    for endpoint in fleet.endpoints[:LEAVING]:
+        fleet.store.remove(f"servers/{endpoint.name}")
+        record.write(
+            f"the store has removed servers/{endpoint.name},"
+            f" revision {fleet.store.revision}"
+        )
+    return time.monotonic()
+
+
+def judge(record, fleet, sent, removed_s):
+    """Find the requests that reached an endpoint too late."""
+    findings = []
+    for endpoint in fleet.endpoints[:LEAVING]:
+        for run in endpoint.runs:
+            after_s = run.started_s - removed_s
+            if after_s <= 0:
+                continue
+            gateway, sent_s, answer = sent.get(
+                run.request_id, ("-", removed_s, "-")
+            )
+            record.write(
+                f"{run.request_id} sent to {gateway}"
+                f" {sent_s - removed_s:.3f} s after the removal reached"
+                f" {endpoint.name} {after_s:.3f} s after it -> {answer}"
+            )
+            if after_s > DRAIN_S + SLACK_S:
+                findings.append(
+                    f"DRAIN: {run.request_id} reached {endpoint.name}"
+                    f" {after_s:.3f} s after the store had removed it"
+                )
+    served = sum(answer == 200 for _, _, answer in sent.values())
+    record.write(f"{len(sent)} requests sent, {served} answered with 200")
+    return findings
 
 
 run_case(play, HERE / "record.txt")
