Log what is taken for an outage of the store

Four hypotheses, and the line that tells each apart:

1. the silence of the lost watcher is taken for an outage of the store, and removed entries are kept: store_returned with a gap of the takeover, then endpoint_kept; 2. the same without any loss, as a watch of a quiet store takes longer than what counts as an outage: store_returned in calm, gap_s just above 1 s; 3. the takeover itself takes long when several watchers are lost: store_watch with a high position and silent_s; 4. the change is known in time, but a request that waits is sent on: endpoint_gone before the late arrival.

--- a/carawayvale/catalogue/builder.py
+++ b/carawayvale/catalogue/builder.py
@@ -113,9 +113,10 @@
 
         :param now_s: the time of the confirmation.
         """
-        had_outage = now_s - self.confirmed_s > STORE_OUTAGE_S
-        if had_outage and self.confirmed_s > 0:
+        gap_s = now_s - self.confirmed_s
+        if gap_s > STORE_OUTAGE_S and self.confirmed_s > 0:
             self.store_returned_s = now_s
+            log_event("store_returned", gap_s=f"{gap_s:.3f}")
         self.confirmed_s = max(self.confirmed_s, now_s)
 
     def _record_restored(self, now_s: float) -> None:
@@ -243,14 +244,16 @@
         if name not in self.endpoints:
             return False
         if now_s - self.store_returned_s < STORE_RETURN_GRACE_S:
-            self.grace_until_s.setdefault(
-                name, self.store_returned_s + STORE_RETURN_GRACE_S
+            until_s = self.store_returned_s + STORE_RETURN_GRACE_S
+            self.grace_until_s.setdefault(name, until_s)
+            log_event(
+                "endpoint_kept", endpoint=name, left_s=f"{until_s - now_s:.3f}"
             )
             return True
-        self._remove_endpoint(name)
+        self._remove_endpoint(name, "removed")
         return True
 
-    def _remove_endpoint(self, name: str) -> None:
+    def _remove_endpoint(self, name: str, cause: str) -> None:
         del self.endpoints[name]
         self.grace_until_s.pop(name, None)
         self.outdated_entries.discard(name)
@@ -258,7 +261,7 @@
             self.report_versions[name], removed_epoch=find_epoch(self.revision)
         )
         self.changed = True
-        log_event("endpoint_gone", endpoint=name)
+        log_event("endpoint_gone", endpoint=name, cause=cause)
 
     def _apply_evacuation(
         self, update: EvacuationUpdate, now_s: float
@@ -304,7 +307,7 @@
         """
         for name, until_s in list(self.grace_until_s.items()):
             if now_s >= until_s:
-                self._remove_endpoint(name)
+                self._remove_endpoint(name, "not_written_again")
         for domain, until_s in list(self.evacuation_ends_s.items()):
             if now_s >= until_s:
                 self._end_evacuation(domain)
--- a/carawayvale/gateway/change_feed.py
+++ b/carawayvale/gateway/change_feed.py
@@ -140,7 +140,12 @@
         self.watching = watching
         if watching and self.complete:
             self.hold_until_s = now_s + self._find_hold()
-        log_event("store_watch", watching=watching)
+        log_event(
+            "store_watch",
+            watching=watching,
+            position=self.election.find_position(),
+            silent_s=f"{now_s - self.heard_s:.3f}",
+        )
 
     def _find_hold(self) -> float:
         """Find for how long a takeover that begins now lasts at least.
