Tell an endpoint that is removed from one that a copy of the store lacks

What callers would see: after the store returned from a copy, an endpoint that it removed got requests for up to 2.2 s after the return was noticed, so up to 3.1 s after the removal where the return was noticed 0.8 s late.

Cause: the catalogue kept each entry that was missing within 2.2 s of the return, whether the copy lacked it or the store had removed it since.

Change: an entry is only kept if the copy may lack it: it was not seen since the return, and no entry of the copy is known to be as new. An outage that lets entries expire still keeps them.

--- a/carawayvale/catalogue/builder.py
+++ b/carawayvale/catalogue/builder.py
@@ -31,6 +31,9 @@
 # the time that the reports took to arrive.
 COLD_END_TOLERANCE_S = 0.5
 
+# Less than every packed position, and of no epoch.
+NO_REVISION = -1
+
 
 @dataclass(frozen=True)
 class ReportVersion:
@@ -83,6 +86,23 @@
     return unchanged == new
 
 
+def is_same_write(old: EndpointRecord, new: EndpointRecord) -> bool:
+    """Tell whether two records of an entry come from the same write.
+
+    :param old: the known record, of an earlier epoch of the store.
+    :param new: the record that the store has since its return.
+    :returns: whether a copy has the write from which the known record is.
+    """
+    position = unpack_position(old.revision)
+    is_same_report = (old.started_ms, old.sequence, old.state) == (
+        new.started_ms,
+        new.sequence,
+        new.state,
+    )
+    number = unpack_position(new.revision).revision
+    return is_same_report and number == position.revision
+
+
 class CatalogueBuilder:
     """Builder of the catalogue from items that arrive in any order.
 
@@ -100,6 +120,7 @@
         self.grace_until_s: dict[str, float] = {}
         self.store_returned_s = float("-inf")
         self.restored_s = float("-inf")
+        self.copied_revision = NO_REVISION
         self.evacuation_ends_s: dict[str, float] = {}
         self.outages = OutageDetector()
         self.revision = 0
@@ -118,7 +139,8 @@
 
     def _record_restored(self, now_s: float) -> None:
         """Record a return from a copy, which restarts all grace periods."""
-        self.store_returned_s = self.restored_s = now_s
+        self.restored_s = now_s
+        self.copied_revision = NO_REVISION
         for ends_s in (self.grace_until_s, self.evacuation_ends_s):
             for name in ends_s:
                 ends_s[name] = now_s + STORE_RETURN_GRACE_S
@@ -218,6 +240,8 @@
         was_outdated = new.name in self.outdated_entries
         self.outdated_entries.discard(new.name)
         old = self.endpoints.get(new.name)
+        if old is not None:
+            self._record_copied(old, new)
         new = replace(new, received_s=now_s)
         self.endpoints[new.name] = new
         if old is not None and is_heartbeat(old, new):
@@ -236,12 +260,41 @@
             )
         return True
 
+    def _record_copied(self, old: EndpointRecord, new: EndpointRecord) -> None:
+        """Record that a copy has an entry, and so all earlier ones."""
+        if find_epoch(new.revision) == find_epoch(old.revision):
+            return
+        if is_same_write(old, new):
+            self.copied_revision = max(self.copied_revision, old.revision)
+
+    def _may_be_forgotten(self, endpoint: EndpointRecord) -> bool:
+        """Tell whether the copy may lack an entry that is missing.
+
+        The store has removed the entry if it was there since the return, or
+        is not newer than another entry of the copy.
+        """
+        epoch = find_epoch(endpoint.revision)
+        if epoch == find_epoch(self.revision):
+            return False
+        if endpoint.name in self.outdated_entries:
+            return False
+        is_comparable = epoch == find_epoch(self.copied_revision)
+        return not is_comparable or endpoint.revision > self.copied_revision
+
     def _handle_missing_entry(self, name: str, now_s: float) -> bool:
-        """Remove an endpoint whose entry is gone, or grant a grace period."""
-        if name not in self.endpoints:
+        """Remove an endpoint whose entry is gone, or grant a grace period.
+
+        An entry that an outage of the store let expire is written again,
+        and so is one that the copy lacks from which the store returned.
+        """
+        endpoint = self.endpoints.get(name)
+        if endpoint is None:
             return False
-        if now_s - self.store_returned_s < STORE_RETURN_GRACE_S:
-            until_s = self.store_returned_s + STORE_RETURN_GRACE_S
+        returned_s = self.store_returned_s
+        if self._may_be_forgotten(endpoint):
+            returned_s = max(returned_s, self.restored_s)
+        until_s = returned_s + STORE_RETURN_GRACE_S
+        if now_s < until_s:
             self.grace_until_s.setdefault(name, until_s)
             log_event(
                 "endpoint_kept", endpoint=name, left_s=f"{until_s - now_s:.3f}"
--- a/carawayvale/catalogue/tests/test_builder.py
+++ b/carawayvale/catalogue/tests/test_builder.py
@@ -295,6 +295,46 @@
         catalogue.builder.drop_expired(10.5 + STORE_RETURN_GRACE_S)
         assert catalogue.endpoints == {}
 
+    def restore_with(self, catalogue, name, revision, now_s=10.5):
+        """Let the copy have an endpoint's entry from before the return."""
+        catalogue.revision = StorePosition(1, revision).pack() - 1
+        position = StorePosition(1, revision).pack()
+        present = replace(ENDPOINT, name=name, revision=position)
+        catalogue.apply(EndpointUpdate(name, present), now_s)
+
+    def test_entry_that_is_removed_after_the_return_is_not_kept(self):
+        # Guards against taking what the store removes for what a copy lacks.
+        catalogue = self.make_catalogue()
+        self.restore_with(catalogue, "i-1", 1)
+        catalogue.apply(EndpointUpdate("i-1", None), 10.6)
+        assert catalogue.endpoints == {}
+
+    def test_entry_of_the_copy_that_is_missing_is_not_kept(self):
+        # Guards against the same if the removal comes before the reading.
+        catalogue = self.make_catalogue()
+        catalogue.revision = 6
+        for name in ("i-2", "i-3"):
+            known = replace(
+                ENDPOINT, name=name, revision=catalogue.revision + 1
+            )
+            catalogue.apply(EndpointUpdate(name, known), 10.2)
+        # The copy has the entry of i-2, so it has the earlier one of i-1.
+        self.restore_with(catalogue, "i-2", 7)
+        for name in ("i-1", "i-3"):
+            catalogue.apply(EndpointUpdate(name, None), 10.5)
+        assert catalogue.endpoints.keys() == {"i-2", "i-3"}
+        catalogue.builder.drop_expired(10.5 + STORE_RETURN_GRACE_S)
+        assert catalogue.endpoints.keys() == {"i-2"}
+
+    def test_entry_that_an_outage_let_expire_is_kept_after_the_return(self):
+        catalogue = self.make_catalogue()
+        record_outage(catalogue.builder, 10.5, 13.5)
+        self.restore_with(catalogue, "i-1", 1, 13.5)
+        catalogue.apply(EndpointUpdate("i-1", None), 13.6)
+        assert "i-1" in catalogue.endpoints
+        catalogue.builder.drop_expired(13.5 + STORE_RETURN_GRACE_S)
+        assert catalogue.endpoints == {}
+
     def test_report_after_an_outdated_one_of_the_copy_is_sent_to_peers(self):
         """A peer that started after the return knows only the copy's."""
         catalogue = self.make_catalogue()
--- a/carawayvale/gateway/tests/test_watcher_loss.py
+++ b/carawayvale/gateway/tests/test_watcher_loss.py
@@ -19,6 +19,9 @@
 OUTAGE_S = 4.5
 WRITTEN_AGAIN_S = 1.0
 
+# Time for which a store that returns from a copy is away.
+AWAY_S = 0.8
+
 # Longest time after an outage for which missing entries are kept.
 KEPT_S = 3.5
 
@@ -131,3 +134,22 @@
             await check_kept(fleet, others)
 
         run_scenario(scenario, instances=4, endpoints=("i-1", "i-2"))
+
+
+class TestReturnFromCopy:
+    def test_endpoint_that_is_removed_after_the_return_is_not_kept(self):
+        # Guards against taking what the store removes for what a copy lacks.
+        async def scenario(fleet):
+            await wait_for_single_watcher(fleet)
+            fleet.store.unresponsive = True
+            fleet.store.restore(fleet.store.copy())
+            start_s = read_boot_clock()
+            fleet.store.remove("servers/i-1")
+            await curio.sleep(AWAY_S)
+            fleet.store.unresponsive = False
+            await fleet.wait_until(
+                lambda: not any(lists(d, "i-1") for d in fleet.daemons)
+            )
+            assert read_boot_clock() - start_s < REMOVAL_S
+
+        run_scenario(scenario, instances=3, endpoints=("i-1", "i-2"))
