Let instances that hear by notices only ask for changes at once

What callers would see: in a region that is no full mesh (more than 9 instances) some instances learn of a removed or draining endpoint up to 1 s later than the others, and take the silence for the loss of the watcher.

Cause: links on which both sides sent the same change carry notices only. When several changes cross, an instance can be left with such links alone.

Change: an instance to which a notice is the first to tell a confirmation requests changes from the sender, which sends them at once from then on.

--- a/carawayvale/gateway/change_feed.py
+++ b/carawayvale/gateway/change_feed.py
@@ -78,6 +78,10 @@
 # Missing changes are requested from peers at most this often.
 MIN_REQUEST_INTERVAL_S = 0.5
 
+# Age of a confirmation that was not sent on at once; that of a notice is at
+# least twice as high.
+LATE_S = 0.25
+
 # Peers are told at least this often that the store confirmed the state.
 CONFIRM_INTERVAL_S = 0.5
 
@@ -342,6 +346,7 @@
         newer = confirmed_s > self.confirmed_s + POLL_S
         if newer:
             self.heard_s = confirmed_s
+            await self._request_if_late(link, update, now_s)
         await self._apply(changed, self.confirmed_s if gap else confirmed_s)
         if self.complete:
             await self.age_reports.advance(self.replica.revision)
@@ -376,6 +381,18 @@
         age_s = max(0.0, now_s - self.confirmed_s)
         await link.post(FeedUpdate(revision, revision, age_s, ()))
 
+    async def _request_if_late(
+        self, link: PeerLink, update: FeedUpdate, now_s: float
+    ) -> None:
+        """Request changes from a peer whose notice is the first to arrive.
+
+        No peer tells this instance of changes at once then, so the sender
+        does from now on. In a full mesh the watcher tells all of them.
+        """
+        is_late = update.age_s >= LATE_S
+        if is_late and not self.peers.membership.is_full_mesh:
+            await self._request_missing(link, now_s)
+
     async def _request_missing(self, link: PeerLink, now_s: float) -> None:
         """Request the changes after the replica's revision from a peer."""
         if now_s - self.requested_s < MIN_REQUEST_INTERVAL_S:
