Give the turns of the watchers and the reading of the store rooms of their own

The turns (when an instance watches in place of a silent one, and for how long) are in watch_turns.py, without I/O; reading the store into the replica, with what the detector of outages has to know, is in store_reader.py. _watch_once is three short functions.

--- a/carawayvale/gateway/change_feed.py
+++ b/carawayvale/gateway/change_feed.py
@@ -2,16 +2,13 @@
 
 One instance of each region watches the store and sends changes to the
 others. If those receive no state that the store confirmed lately, they
-watch the store themselves, one after the other. An instance that has taken
-over goes on for a while, and then until another one sends it newer
-confirmations than its own. That while is longer the earlier it is in the
-order, so that of several that have taken over one goes on alone.
+watch the store themselves, one after the other (``watch_turns``). An instance
+that has taken over goes on for a while, and then until another one sends it
+newer confirmations than its own.
 """
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Iterable
-import random
 
 import curio
 
@@ -27,7 +24,11 @@
 from carawayvale.gateway.feed_updates import pack_items
 from carawayvale.gateway.feed_updates import unpack_items
 from carawayvale.gateway.feed_updates import UpdateKind
-from carawayvale.gateway.watcher_election import MAX_WATCHERS
+from carawayvale.gateway.store_reader import StoreReader
+from carawayvale.gateway.store_reader import WATCH_WAIT_S
+from carawayvale.gateway.watch_turns import choose_hold
+from carawayvale.gateway.watch_turns import find_turn
+from carawayvale.gateway.watch_turns import STALE_S
 from carawayvale.gateway.watcher_election import WatcherElection
 from carawayvale.links.feed_messages import FeedRequest
 from carawayvale.links.feed_messages import FeedUpdate
@@ -36,10 +37,8 @@
 from carawayvale.links.peers import PeerTable
 from carawayvale.links.peers import register_message_handler
 from carawayvale.platform.store_client import StoreClient
-from carawayvale.platform.store_client import WATCH_TIMEOUT_MARGIN_S
 from carawayvale.platform.store_responses import HistoryGone
 from carawayvale.platform.store_responses import StoreFailed
-from carawayvale.steering.freshness import Reading
 from carawayvale.telemetry.logs import log_event
 
 # Reports of endpoints change the store several times a second; changes
@@ -50,25 +49,12 @@
 # that the confirmations of the one before it are newer once it is back.
 TAKEOVER_PAUSE_S = 0.25
 
-# Least time for which an instance that has taken over goes on, for each
-# position that it is ahead of the last one. It is longer than the time for
-# which the confirmations of an instance that has stopped count.
-TAKEOVER_STEP_S = 3.0
-
-# Longest time for which a call to the store waits for a change, and that
-# time if the last confirmation is old, or the configuration is about to
-# become too old. An instance that takes over thus has a confirmation for its
-# peers after its first call.
-WATCH_WAIT_S = 1.0
+# Time for which a call to the store waits for a change if the last
+# confirmation is old, or the configuration is about to become too old. An
+# instance that takes over thus has a confirmation for its peers after its
+# first call.
 URGENT_WAIT_S = 0.1
 
-# Age of the last confirmation after which the next instance watches the
-# store, and the additional time for each position. The last one has to read
-# the store, and to tell its peers, before an endpoint that was removed when
-# all others were lost may get no more requests.
-STALE_S = 1.4
-STALE_STEP_S = 0.1
-
 # The pause after a failed call to the store doubles with each failure,
 # from the first value up to the second.
 INITIAL_RETRY_S = 0.4
@@ -113,6 +99,7 @@
         self.age_reports = age_reports
         self.outages = outages
         self.replica = StoreReplica()
+        self.reader = StoreReader(store, self.replica, outages)
         self.complete = False
         self.confirmed_s = float("-inf")
         self.heard_s = float("-inf")
@@ -138,7 +125,7 @@
             return True
         if self.age_reports.age.needs_own_reading(now_s, position):
             return True
-        return now_s - self.heard_s > STALE_S + STALE_STEP_S * position
+        return now_s - self.heard_s > find_turn(position)
 
     def update_watching(self, now_s: float) -> None:
         """Begin or end to watch the store, as it is due.
@@ -153,7 +140,8 @@
             # Nothing that this instance asked is unanswered any more.
             self.outages.record_answer()
         if watching and self.complete:
-            self.hold_until_s = now_s + self._find_hold()
+            position = self.election.find_position()
+            self.hold_until_s = now_s + choose_hold(position)
         log_event(
             "store_watch",
             watching=watching,
@@ -161,18 +149,6 @@
             silent_s=f"{now_s - self.heard_s:.3f}",
         )
 
-    def _find_hold(self) -> float:
-        """Find for how long a takeover that begins now lasts at least.
-
-        Instances without a position of their own differ by chance.
-
-        :returns: seconds.
-        """
-        ahead = MAX_WATCHERS - self.election.find_position()
-        if ahead == 0:
-            return TAKEOVER_STEP_S * random.random()
-        return TAKEOVER_STEP_S * (1 + ahead)
-
     async def run(self) -> None:
         """Keep the replica up to date until cancelled."""
         while True:
@@ -208,44 +184,43 @@
         """Read changes from the store, or all items, and publish them."""
         start_s = read_boot_clock()
         before = self.replica.revision
-        if not self.complete:
-            items = await self.store.read_all("")
-            revision = items.revision
-            changed = self.replica.apply_snapshot(
-                items.items, revision, revision
-            )
-            self._log_ignored(items.items.values())
+        if self.complete:
+            wait_s = self._find_wait(start_s)
+            reading = await self.reader.read_changes(start_s, wait_s)
+        else:
+            reading = await self.reader.read_all(start_s)
             self.complete = True
             self.heard_s = read_boot_clock()
-        else:
-            wait_s = self._find_wait(start_s)
-            self.outages.record_call(start_s + wait_s)
-            changes = await self.store.watch(
-                "",
-                self.replica.revision,
-                wait_s,
-                WATCH_WAIT_S + WATCH_TIMEOUT_MARGIN_S,
-            )
-            revision = changes.revision
-            changed = self.replica.apply(changes.items, revision)
-        self.outages.record_answer()
         now_s = read_boot_clock()
-        to_publish = await self._apply(changed, now_s)
-        if before == 0:
-            # Peers read the store themselves, or request what they lack.
-            self.published_revision, to_publish = self.replica.revision, []
-        elif find_epoch(before) < find_epoch(self.replica.revision):
-            # Peers may have read a key that was deleted before this reading.
-            self.published_revision = 0
-            to_publish = list(self.replica.collect_since(0))
+        new_items = await self._apply(reading.changed, now_s)
+        to_publish = self._choose_published(before, new_items)
         if to_publish or now_s - self.published_s >= CONFIRM_INTERVAL_S:
             await self._publish(to_publish)
-        await self.age_reports.record_reading(Reading(revision, start_s))
+        await self.age_reports.record_reading(reading.reading)
         pause_s = max(0.0, BATCH_S - (now_s - start_s))
         if self.election.find_position() > 0:
             pause_s += TAKEOVER_PAUSE_S
         await curio.sleep(pause_s)
 
+    def _choose_published(
+        self, before: int, new_items: list[StoredItem]
+    ) -> list[StoredItem]:
+        """Choose the items that peers get after a reading.
+
+        :param before: revision of the replica before the reading.
+        :param new_items: items of the reading that peers have to know.
+        :returns: the items.
+        """
+        if before == 0:
+            # Peers read the store themselves, or request what they lack.
+            self.published_revision = self.replica.revision
+            return []
+        if find_epoch(before) < find_epoch(self.replica.revision):
+            # Peers may have read a key that was deleted before this reading.
+            self.published_revision = 0
+            return list(self.replica.collect_since(0))
+        return new_items
+
     def _find_wait(self, now_s: float) -> float:
         """Find how long a call that begins now may wait for a change.
 
@@ -255,19 +230,6 @@
         is_urgent = self.age_reports.age.is_urgent(now_s)
         return URGENT_WAIT_S if is_stale or is_urgent else WATCH_WAIT_S
 
-    def _log_ignored(self, items: Iterable[StoredItem]) -> None:
-        """Log the items of a reading that the replica did not accept."""
-        for item in items:
-            known = self.replica.items.get(item.key, item)
-            if known.value != item.value:
-                log_event(
-                    "item_ignored",
-                    "WARNING",
-                    key=item.key,
-                    revision=unpack_position(item.revision),
-                    known=unpack_position(known.revision),
-                )
-
     async def _apply(
         self, changed: list[StoredItem], confirmed_s: float
     ) -> list[StoredItem]:
