--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -75,14 +75,16 @@
     def __init__(self):
         self.server: asyncio.Server | None = None
         self.address = ""
+        self.writers: set[asyncio.StreamWriter] = set()
 
-    async def open(self, host: str = "127.0.0.1") -> None:
-        """Open a free port."""
-        self.server = await asyncio.start_server(self._serve, host, 0)
+    async def open(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        """Open a port; 0 selects a free one."""
+        self.server = await asyncio.start_server(self._serve, host, port)
         host, port = self.server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
     async def _serve(self, reader, writer) -> None:
+        self.writers.add(writer)
         try:
             while (request := await read_request(reader)) is not None:
                 data = await self.answer(request)
@@ -91,6 +93,7 @@
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def answer(self, request: Message) -> bytes:
