--- a/review/13/case.py
+++ b/review/13/case.py
@@ -35,8 +35,6 @@
 class MortalEndpoint(Endpoint):
     """An endpoint that a deadly request crashes."""
 
-    crashed = False
-
     async def answer(self, request):
         """Run a request; a deadly one ends the process of the endpoint."""
         expected = request.find("x-expect-instance")
--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -5,6 +5,7 @@
 import json
 import os
 from pathlib import Path
+import shutil
 import signal
 import socket
 import subprocess
@@ -259,6 +260,7 @@
             task.cancel()
         for server in [self.store, *self.endpoints]:
             server.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 async def is_ready(gateway: Gateway) -> bool:
@@ -335,6 +337,8 @@
     :param play: coroutine function that gets the record and returns whether
         the rule held.
     """
+    # A script that is ended by a signal ends its processes too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(Path(script).resolve().parent)
     record.write(f"disruption: {'yes' if has_trouble() else 'no'}")
     try:
--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -304,6 +304,8 @@
         self.work_s = work_s
         self.slots = slots
         self.running = 0
+        # A crashed endpoint writes nothing to the store.
+        self.crashed = False
         self.seq = 0
         self.born = int(time.time() * 1000)
 
@@ -325,7 +327,8 @@
     async def keep_registered(self, store: Store) -> None:
         """Write its entry each heartbeat until cancelled."""
         while True:
-            store.put_json(f"servers/{self.name}", self.make_entry())
+            if not self.crashed:
+                store.put_json(f"servers/{self.name}", self.make_entry())
             await asyncio.sleep(1.5)
 
     async def answer(self, request: Message) -> bytes:
