--- a/carawayvale/commands/daemon_runner.py
+++ b/carawayvale/commands/daemon_runner.py
@@ -9,9 +9,11 @@
 import sys
 
 import curio
-from curio.io import Socket
 
 from carawayvale.early_signals import take_held_signals
+from carawayvale.links.sockets import StreamSocket
+from carawayvale.telemetry.logs import format_place
+from carawayvale.telemetry.logs import log_event
 
 # Longest time that a thread runs before another waiting thread gets its turn.
 SWITCH_INTERVAL_S = 0.001
@@ -34,7 +36,7 @@
     def __init__(self, numbers: tuple[int, ...]):
         reader, self.writer = stdlib_socket.socketpair()
         self.writer.setblocking(False)
-        self.reader = Socket(reader)
+        self.reader = StreamSocket(reader)
         signal.set_wakeup_fd(self.writer.fileno())
         for number in numbers:
             signal.signal(number, lambda *_: None)
@@ -109,4 +111,14 @@
     raise_file_limit()
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     gc.set_threshold(GC_THRESHOLD)
-    curio.run(run_with_signals, run, stop, reload)
+    try:
+        curio.run(run_with_signals, run, stop, reload)
+    except Exception as error:
+        # Tasks that are destroyed with the loop write reports of their own.
+        log_event(
+            "event_loop_failed",
+            "ERROR",
+            cause=repr(error),
+            place=format_place(error),
+        )
+        raise
--- a/carawayvale/links/http.py
+++ b/carawayvale/links/http.py
@@ -6,10 +6,10 @@
 from ssl import SSLContext
 
 import curio
-from curio.io import Socket
-from curio import socket
 
 from carawayvale.contracts.address import Address
+from carawayvale.links.sockets import open_socket
+from carawayvale.links.sockets import StreamSocket
 
 READ_BYTES = 65536
 MAX_HEADER_BYTES = 16384
@@ -127,7 +127,7 @@
     timeout_s: float = CONNECT_TIMEOUT_S,
     ssl: SSLContext | None = None,
     source: str = "",
-) -> Socket:
+) -> StreamSocket:
     """Open a TCP or TLS connection to an IP address.
 
     :param address: IP address and port of the server.
@@ -138,9 +138,8 @@
     :raises ConnectRefused: if the server resets the attempt.
     :raises ConnectFailed: if the connection fails or times out.
     """
-    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
     try:
-        sock = socket.socket(family, socket.SOCK_STREAM)
+        sock = open_socket(address)
     except OSError as error:
         # The process has no free descriptor.
         raise ConnectFailed(f"{address}: {error}") from None
@@ -151,7 +150,7 @@
             await sock.connect((address.host, address.port))
             tune_socket(sock)
             if ssl is not None:
-                sock = Socket(
+                sock = StreamSocket(
                     ssl.wrap_socket(
                         sock._socket,
                         do_handshake_on_connect=False,
@@ -172,7 +171,7 @@
     return sock
 
 
-def tune_socket(sock: Socket) -> None:
+def tune_socket(sock: StreamSocket) -> None:
     """Disable Nagle's algorithm and enable detection of dead peers.
 
     :param sock: the TCP socket.
--- a/carawayvale/links/listener.py
+++ b/carawayvale/links/listener.py
@@ -2,33 +2,33 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import socket as plain_socket
 from ssl import SSLContext
 
 import curio
-from curio.io import Socket
-from curio import socket
 
 from carawayvale.contracts.address import Address
 from carawayvale.links.http import tune_socket
+from carawayvale.links.sockets import open_socket
+from carawayvale.links.sockets import StreamSocket
 from carawayvale.telemetry.logs import log_event
 
 BACKLOG = 1024
 MAX_CONNECTIONS = 4000
 ACCEPT_RETRY_S = 0.01
 
-ConnectionHandler = Callable[[Socket], Awaitable[None]]
+ConnectionHandler = Callable[[StreamSocket], Awaitable[None]]
 
 
-def open_listener(address: Address) -> Socket:
+def open_listener(address: Address) -> StreamSocket:
     """Open a listening TCP socket.
 
     :param address: IP address and port; port 0 selects a free port.
     :returns: the listening socket.
     :raises OSError: if the address cannot be bound.
     """
-    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock = open_socket(address)
+    sock.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_REUSEADDR, 1)
     sock.bind((address.host, address.port))
     sock.listen(BACKLOG)
     return sock
@@ -47,7 +47,7 @@
 
     def __init__(
         self,
-        sock: Socket,
+        sock: StreamSocket,
         handle: ConnectionHandler,
         limit: int = MAX_CONNECTIONS,
         ssl: SSLContext | None = None,
@@ -99,7 +99,7 @@
             if not task.terminated:
                 self.tasks.add(task)
 
-    async def _serve(self, client: Socket) -> None:
+    async def _serve(self, client: StreamSocket) -> None:
         task = await curio.current_task()
         self.tasks.add(task)
         try:
@@ -114,12 +114,12 @@
             self.tasks.discard(task)
             await client.close()
 
-    async def _wrap_tls(self, client: Socket) -> Socket:
+    async def _wrap_tls(self, client: StreamSocket) -> StreamSocket:
         if self.ssl is None:
             return client
         wrapped = self.ssl.wrap_socket(
             client._socket, server_side=True, do_handshake_on_connect=False
         )
-        tls_client = Socket(wrapped)
+        tls_client = StreamSocket(wrapped)
         await tls_client.do_handshake()
         return tls_client
--- a/carawayvale/links/tests/test_connect.py
+++ b/carawayvale/links/tests/test_connect.py
@@ -25,6 +25,6 @@
         def fail(*_):
             raise OSError(errno.EMFILE, "Too many open files")
 
-        monkeypatch.setattr(http.socket, "socket", fail)
+        monkeypatch.setattr(http, "open_socket", fail)
         with pytest.raises(ConnectFailed, match="Too many open files"):
             curio.run(connect, CLOSED_PORT)
--- a/carawayvale/telemetry/sinks.py
+++ b/carawayvale/telemetry/sinks.py
@@ -1,6 +1,7 @@
 """Non-blocking, rate-limited sink for log lines."""
 
 from collections.abc import Callable
+import logging
 import os
 import time
 
@@ -9,6 +10,10 @@
 LINES_PER_S = 100.0
 BURST_LINES = 400.0
 
+# Further lines of a burst for errors alone, so that the last words of a
+# process are not dropped behind its lines about requests.
+ERROR_LINES = 20.0
+
 # Shortest interval between two reports of the number of dropped lines.
 REPORT_INTERVAL_S = 1.0
 
@@ -33,6 +38,7 @@
         self.descriptor = descriptor
         self.read_clock = read_clock
         self.tokens = BURST_LINES
+        self.error_tokens = ERROR_LINES
         self.refilled_s = read_clock()
         self.dropped = 0
         self.reported_s = self.refilled_s - REPORT_INTERVAL_S
@@ -42,9 +48,10 @@
     def __call__(self, line: str) -> None:
         """Write a line, or drop and count it.
 
-        :param line: the line, including its line end.
+        :param line: the line, including its line end; its attribute
+            ``record``, which loguru adds, states its level.
         """
-        if not self._take_token():
+        if not self._take_token() and not self._take_error_token(line):
             self.dropped += 1
             return
         data = line.encode()
@@ -64,12 +71,27 @@
         now_s = self.read_clock()
         refilled = self.tokens + LINES_PER_S * (now_s - self.refilled_s)
         self.tokens = min(BURST_LINES, refilled)
+        if self.tokens == BURST_LINES:
+            self.error_tokens = ERROR_LINES
         self.refilled_s = now_s
         if self.tokens < 1:
             return False
         self.tokens -= 1
         return True
 
+    def _take_error_token(self, line: str) -> bool:
+        """Take a token that is kept for errors.
+
+        These tokens come back with those of the other lines.
+        """
+        record = getattr(line, "record", None)
+        if record is None or record["level"].no < logging.ERROR:
+            return False
+        if self.error_tokens < 1:
+            return False
+        self.error_tokens -= 1
+        return True
+
     def _write(self, data: bytes) -> bool:
         """Write whole lines, after the rest of a partially written line.
 
--- a/carawayvale/telemetry/tests/test_sinks.py
+++ b/carawayvale/telemetry/tests/test_sinks.py
@@ -2,8 +2,11 @@
 
 import os
 
+import loguru
+
 from carawayvale.telemetry.sinks import BoundedSink
 from carawayvale.telemetry.sinks import BURST_LINES
+from carawayvale.telemetry.sinks import ERROR_LINES
 from carawayvale.telemetry.sinks import LINES_PER_S
 from carawayvale.telemetry.sinks import REPORT_INTERVAL_S
 
@@ -57,3 +60,20 @@
         joined = "\n".join(lines).replace("x" * 1000, "whole")
         assert "x" not in joined
         assert lines[-1].startswith("event=lines_left_out count=")
+
+    # Guards against the last error of a process that is dropped behind its
+    # lines about requests.
+    def test_error_is_written_behind_a_burst_of_other_lines(self):
+        harness = SinkHarness()
+        logger = loguru.logger
+        handler = logger.add(harness.sink, format="{message}")
+        try:
+            for _ in range(int(BURST_LINES) + 50):
+                logger.info("a=1")
+            for _ in range(int(ERROR_LINES) + 50):
+                logger.error("event=failed")
+        finally:
+            logger.remove(handler)
+        lines = harness.read()
+        assert lines.count("a=1") == BURST_LINES
+        assert lines.count("event=failed") == ERROR_LINES
