Close a socket only when no task waits on it

Cause: the connection of a client was closed while its reading task had been woken and had not run. The event loop still had the descriptor's number registered. The next socket that was opened, mostly one to an endpoint, got the same number, and the loop failed when it changed the registration.

Change: a StreamSocket that is closed wakes the tasks that wait on it, and its descriptor stays open until the last of them has run; they get ConnectionAbortedError, not an end of the stream. All sockets are of this class: callers' port, listeners, links, endpoints' connections, store, the product's entry and the stand-ins. The end of a caller's connection waits for its reading task before the socket is closed. Links and the HTTP client shut a socket down through the class too, so a socket that is closed already gives an OSError and not an AttributeError.

--- a/carawayvale/gateway/server.py
+++ b/carawayvale/gateway/server.py
@@ -5,7 +5,6 @@
 import math
 
 import curio
-from curio.io import Socket
 
 from carawayvale.catalogue.records import RequestLimits
 from carawayvale.gateway.body_memory import BodyMemory
@@ -16,6 +15,7 @@
 from carawayvale.gateway.response_memory import ResponseMemory
 from carawayvale.gateway.server_connection import ServerConnection
 from carawayvale.links.http import Headers
+from carawayvale.links.sockets import StreamSocket
 
 # Time for the last responses to be written.
 FAIL_WAIT_S = 0.05
@@ -71,7 +71,7 @@
         self.lingering = 0
         self.connections: set[ServerConnection] = set()
 
-    async def serve(self, sock: Socket) -> None:
+    async def serve(self, sock: StreamSocket) -> None:
         """Serve one connection until it ends.
 
         :param sock: the accepted socket.
--- a/carawayvale/gateway/server_connection.py
+++ b/carawayvale/gateway/server_connection.py
@@ -11,11 +11,9 @@
 from dataclasses import dataclass
 from dataclasses import replace
 import socket
-import struct
 from typing import TYPE_CHECKING
 
 import curio
-from curio.io import Socket
 import h11
 
 from carawayvale.contracts.clock import read_boot_clock
@@ -29,6 +27,7 @@
 from carawayvale.gateway.response_memory import ConnectionMemory
 from carawayvale.gateway.response_memory import RequestMemory
 from carawayvale.links.http import READ_BYTES
+from carawayvale.links.sockets import StreamSocket
 from carawayvale.links.turns import STEPS_PER_READ
 from carawayvale.links.turns import TurnCounter
 from carawayvale.telemetry.logs import log_event
@@ -49,9 +48,6 @@
 # A large response is written in pieces of this size.
 PIECE_BYTES = 1 << 16
 
-# Value of SO_LINGER with which a closed socket drops what is unread.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
 # Interval at which a connection with a full pipeline checks for room.
 PIPELINE_POLL_S = 0.005
 
@@ -107,7 +103,7 @@
     :param sock: the accepted socket.
     """
 
-    def __init__(self, server: "RequestServer", sock: Socket):
+    def __init__(self, server: "RequestServer", sock: StreamSocket):
         self.server = server
         self.sock = sock
         self.holder = ConnectionMemory(server.response_memory, self._abort)
@@ -130,12 +126,8 @@
 
     def _abort(self) -> None:
         """Close the connection and drop what its client has not read."""
-        sock = self.sock._socket
         try:
-            sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-            )
-            sock.shutdown(socket.SHUT_RDWR)
+            self.sock.abort()
         except OSError as error:
             log_event("caller_gone", "DEBUG", cause=str(error))
 
@@ -148,7 +140,8 @@
                 await reader.cancel()
                 await self._linger()
         finally:
-            await reader.cancel(blocking=False)
+            # It uses the socket, which is closed after this call.
+            await reader.cancel()
             self.head.release()
             self.body.release()
             while self.pipeline:
@@ -163,7 +156,7 @@
         self.server.lingering += 1
         turns = TurnCounter()
         try:
-            self.sock._socket.shutdown(socket.SHUT_WR)
+            self.sock.shut_down(socket.SHUT_WR)
             async with curio.ignore_after(LINGER_S):
                 while await self.sock.recv(READ_BYTES):
                     await turns.count_steps(STEPS_PER_READ)
--- a/carawayvale/gateway/tests/partitions.py
+++ b/carawayvale/gateway/tests/partitions.py
@@ -7,13 +7,13 @@
 import struct
 
 import curio
-from curio import socket
 
 from carawayvale.catalogue.source import EndpointUpdate
 from carawayvale.contracts.address import Address
 from carawayvale.gateway.tests.fleet import GatewayFleet
 from carawayvale.links.http import READ_BYTES
 from carawayvale.links.listener import open_listener
+from carawayvale.links.sockets import open_socket
 from carawayvale.platform.source import PlatformSource
 
 # The relays of an instance have its loopback address and ports from this
@@ -121,7 +121,7 @@
         while True:
             near, _ = await self.sock.accept()
             self.opened += 1
-            far = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            far = open_socket(self.target)
             try:
                 await far.connect((self.target.host, self.target.port))
             except OSError:
--- a/carawayvale/links/http_client.py
+++ b/carawayvale/links/http_client.py
@@ -6,7 +6,6 @@
 from ssl import SSLSocket
 from ssl import SSLWantReadError
 
-from curio.io import Socket
 import h11
 
 from carawayvale.links.http import ConnectionBroken
@@ -18,6 +17,7 @@
 from carawayvale.links.http import ResponseHead
 from carawayvale.links.response_checks import find_violation
 from carawayvale.links.response_checks import may_have_unread_body
+from carawayvale.links.sockets import StreamSocket
 from carawayvale.links.turns import STEPS_PER_READ
 from carawayvale.links.turns import TurnCounter
 from carawayvale.telemetry.logs import log_event
@@ -41,7 +41,7 @@
     :param sock: the connected socket.
     """
 
-    def __init__(self, sock: Socket):
+    def __init__(self, sock: StreamSocket):
         self.sock = sock
         self.http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
@@ -296,7 +296,7 @@
         """Shut the socket down, so the task that uses it sees an error."""
         self.aborted = True
         try:
-            self.sock._socket.shutdown(plain_socket.SHUT_RDWR)
+            self.sock.shut_down()
         except OSError as error:
             # The connection is closed already.
             log_event("abort_failed", "DEBUG", cause=str(error))
--- a/carawayvale/links/http_server.py
+++ b/carawayvale/links/http_server.py
@@ -1,6 +1,5 @@
 """Server side of an HTTP/1.1 connection, with h11 on a curio socket."""
 
-from curio.io import Socket
 import h11
 
 from carawayvale.links.http import BadRequest
@@ -9,6 +8,7 @@
 from carawayvale.links.http import MAX_HEADER_BYTES
 from carawayvale.links.http import READ_BYTES
 from carawayvale.links.http import RequestHead
+from carawayvale.links.sockets import StreamSocket
 from carawayvale.links.turns import STEPS_PER_READ
 from carawayvale.links.turns import TurnCounter
 
@@ -23,7 +23,7 @@
     :param sock: the accepted socket.
     """
 
-    def __init__(self, sock: Socket):
+    def __init__(self, sock: StreamSocket):
         self.sock = sock
         self.http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES
--- a/carawayvale/links/json_calls.py
+++ b/carawayvale/links/json_calls.py
@@ -6,12 +6,12 @@
 from typing import Any
 
 import curio
-from curio.io import Socket
 
 from carawayvale.links.http import BadRequest
 from carawayvale.links.http import ConnectionBroken
 from carawayvale.links.http import RequestHead
 from carawayvale.links.http_server import HttpServer
+from carawayvale.links.sockets import StreamSocket
 from carawayvale.telemetry.logs import log_event
 
 IDLE_TIMEOUT_S = 120.0
@@ -22,7 +22,7 @@
 RequestHandler = Callable[[HttpServer, RequestHead], Awaitable[None]]
 
 
-async def serve_requests(sock: Socket, handle: RequestHandler) -> None:
+async def serve_requests(sock: StreamSocket, handle: RequestHandler) -> None:
     """Serve the requests of one connection until it closes.
 
     :param sock: the accepted socket.
--- a/carawayvale/links/link_sessions.py
+++ b/carawayvale/links/link_sessions.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 import curio
-from curio.io import Socket
 
 from carawayvale.links.messages import BadMessage
 from carawayvale.links.messages import Members
@@ -14,6 +13,7 @@
 from carawayvale.links.peer_link import LinkClosed
 from carawayvale.links.peer_link import LinkRefused
 from carawayvale.links.peer_link import PeerLink
+from carawayvale.links.sockets import StreamSocket
 from carawayvale.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -36,7 +36,7 @@
 
 
 async def serve_link(
-    table: "PeerTable", sock: Socket, handshake: Callable
+    table: "PeerTable", sock: StreamSocket, handshake: Callable
 ) -> None:
     """Perform the handshake on a socket, then run the link until it ends.
 
--- a/carawayvale/links/listener.py
+++ b/carawayvale/links/listener.py
@@ -88,7 +88,8 @@
         while True:
             try:
                 client, _ = await self.sock.accept()
-            except OSError:
+            except OSError as error:
+                log_event("accept_failed", "DEBUG", cause=str(error))
                 await curio.sleep(ACCEPT_RETRY_S)
                 continue
             if len(self.tasks) >= self.limit:
--- a/carawayvale/links/peer_link.py
+++ b/carawayvale/links/peer_link.py
@@ -5,12 +5,10 @@
 import hashlib
 import hmac
 import secrets
-import socket as plain_socket
 from typing import Any
 import zlib
 
 import curio
-from curio.io import Socket
 from websockets.client import ClientProtocol
 from websockets.frames import Frame
 from websockets.frames import Opcode
@@ -27,6 +25,7 @@
 from carawayvale.links.messages import MAX_MESSAGE_BYTES
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links.messages import Welcome
+from carawayvale.links.sockets import StreamSocket
 from carawayvale.links.turns import STEPS_PER_READ
 from carawayvale.links.turns import TurnCounter
 
@@ -114,7 +113,7 @@
     """
 
     def __init__(
-        self, sock: Socket, protocol: ClientProtocol | ServerProtocol
+        self, sock: StreamSocket, protocol: ClientProtocol | ServerProtocol
     ):
         self.sock = sock
         self.protocol = protocol
@@ -271,12 +270,12 @@
         try:
             await self.write_all()
         except LinkBroken:
-            await self._wake_reader()
+            self._wake_reader()
 
-    async def _wake_reader(self) -> None:
+    def _wake_reader(self) -> None:
         """Shut the connection down, so the reader sees its end."""
         try:
-            await self.sock.shutdown(plain_socket.SHUT_RDWR)
+            self.sock.shut_down()
         except OSError:
             return
 
@@ -286,11 +285,11 @@
         if self.outbox.qsize() < MAX_QUEUED_MESSAGES:
             await self.outbox.put(CLOSE_SENTINEL)
         else:
-            await self._wake_reader()
+            self._wake_reader()
 
 
 async def open_link(
-    sock: Socket, key: bytes, own_record: MemberRecord
+    sock: StreamSocket, key: bytes, own_record: MemberRecord
 ) -> PeerLink:
     """Authenticate a new link as the connecting side.
 
@@ -326,7 +325,7 @@
 
 
 async def accept_link(
-    sock: Socket, key: bytes, own_record: MemberRecord
+    sock: StreamSocket, key: bytes, own_record: MemberRecord
 ) -> PeerLink:
     """Authenticate a new link as the accepting side.
 
--- a/carawayvale/links/peers.py
+++ b/carawayvale/links/peers.py
@@ -10,7 +10,6 @@
 from typing import TYPE_CHECKING
 
 import curio
-from curio.io import Socket
 
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import Clock
@@ -33,6 +32,7 @@
 from carawayvale.links.peer_traffic import NO_TRAFFIC
 from carawayvale.links.peer_traffic import Traffic
 from carawayvale.links.report_gossip import send_reports
+from carawayvale.links.sockets import StreamSocket
 from carawayvale.links.topology import choose_neighbours
 from carawayvale.links.topology import choose_redials
 from carawayvale.telemetry.logs import log_event
@@ -157,7 +157,7 @@
     def __post_init__(self):
         self.random = random.Random(self.membership.own_record.incarnation)
 
-    async def accept(self, sock: Socket) -> None:
+    async def accept(self, sock: StreamSocket) -> None:
         """Serve a link that a peer opened.
 
         :param sock: the accepted socket.
--- a/carawayvale/links/tests/test_peer_link.py
+++ b/carawayvale/links/tests/test_peer_link.py
@@ -1,7 +1,6 @@
 """Tests of the handshake and the closing of links over real sockets."""
 
 import curio
-from curio import socket
 import pytest
 from websockets.protocol import State
 
@@ -9,6 +8,7 @@
 from carawayvale.links import Heartbeat
 from carawayvale.links import LinkRefused
 from carawayvale.links import open_link
+from carawayvale.links.sockets import open_socket_pair
 from carawayvale.links.tests.test_membership import make_record
 
 KEY = b"k" * 16
@@ -20,7 +20,7 @@
     :returns: names of the peers at both sides and the first message
         that the server receives.
     """
-    first, second = socket.socketpair()
+    first, second = open_socket_pair()
     async with first, second:
         server = await curio.spawn(
             accept_link, first, server_key, make_record("server")
@@ -42,7 +42,7 @@
 
     def test_client_without_the_key_is_refused(self):
         async def run():
-            first, second = socket.socketpair()
+            first, second = open_socket_pair()
             async with first, second:
                 client = await curio.spawn(
                     open_link, second, b"x" * 16, make_record("client")
@@ -55,7 +55,7 @@
 
     def test_server_without_the_key_is_refused(self):
         async def run():
-            first, second = socket.socketpair()
+            first, second = open_socket_pair()
             async with first, second:
                 server = await curio.spawn(
                     run_server_with_wrong_key, first, make_record("server")
@@ -85,7 +85,7 @@
         """The writer must reply to a close while the reader is busy."""
 
         async def run():
-            first, second = socket.socketpair()
+            first, second = open_socket_pair()
             async with first, second:
                 server, client = await open_pair(first, second)
                 reader = await curio.spawn(server.run, handle_slowly)
--- a/carawayvale/links/tests/test_peers.py
+++ b/carawayvale/links/tests/test_peers.py
@@ -2,7 +2,6 @@
 
 import cbor2
 import curio
-from curio import socket
 from loguru import logger
 import pytest
 
@@ -19,6 +18,7 @@
 from carawayvale.links.peer_link import PLAIN_PREFIX
 from carawayvale.links import PeerCallbacks
 from carawayvale.links import PeerTable
+from carawayvale.links.sockets import open_socket_pair
 from carawayvale.links.tests.test_membership import make_record
 
 KEY = b"k" * 16
@@ -71,7 +71,7 @@
     :param payloads: encoded messages.
     :raises LinkBroken: if the receiving instance closes the link.
     """
-    first, second = socket.socketpair()
+    first, second = open_socket_pair()
     async with first, second, curio.timeout_after(TIMEOUT_S):
         server = await curio.spawn(table.accept, first)
         try:
--- a/carawayvale/machines/caller_handler.py
+++ b/carawayvale/machines/caller_handler.py
@@ -6,8 +6,6 @@
 from typing import Any
 from urllib.parse import parse_qsl
 
-from curio.io import Socket
-
 from carawayvale.contracts import headers as names
 from carawayvale.contracts.reasons import Reason
 from carawayvale.contracts.reasons import REFUSALS
@@ -18,6 +16,7 @@
 from carawayvale.links.http_server import HttpServer
 from carawayvale.links.json_calls import JSON_TYPE
 from carawayvale.links.json_calls import serve_requests
+from carawayvale.links.sockets import StreamSocket
 from carawayvale.machines.entry_node import EntryNode
 from carawayvale.machines.exchange import Exchange
 from carawayvale.machines.responses import send_refusal
@@ -63,7 +62,7 @@
         default_factory=dict
     )
 
-    async def handle(self, sock: Socket) -> None:
+    async def handle(self, sock: StreamSocket) -> None:
         """Serve the requests of one connection.
 
         :param sock: the accepted connection.
--- a/carawayvale/machines/operator_handler.py
+++ b/carawayvale/machines/operator_handler.py
@@ -7,8 +7,6 @@
 import hashlib
 import hmac
 
-from curio.io import Socket
-
 from carawayvale.documents.document_updater import DocumentUpdater
 from carawayvale.documents.envelope import decode_envelope
 from carawayvale.documents.store import StoredValue
@@ -19,6 +17,7 @@
 from carawayvale.links.json_calls import send_json
 from carawayvale.links.json_calls import serve_requests
 from carawayvale.links.peers import PeerTable
+from carawayvale.links.sockets import StreamSocket
 from carawayvale.machines.entry_node import EntryNode
 
 MAX_BODY_BYTES = 2_500_000
@@ -54,7 +53,7 @@
     updater: DocumentUpdater
     drain: Callable[[], Awaitable[None]]
 
-    async def handle(self, sock: Socket) -> None:
+    async def handle(self, sock: StreamSocket) -> None:
         """Serve the calls of one connection.
 
         :param sock: the accepted connection.
--- a/carawayvale/machines/tests/test_bad_input.py
+++ b/carawayvale/machines/tests/test_bad_input.py
@@ -3,7 +3,6 @@
 from dataclasses import replace
 
 import curio
-from curio import socket
 import pytest
 
 from carawayvale.documents import Envelope
@@ -15,6 +14,7 @@
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links import open_link
 from carawayvale.links import PeerLink
+from carawayvale.links.sockets import open_socket_pair
 from carawayvale.links.turns import TurnCounter
 from carawayvale.machines.operator_handler import sign_document
 from carawayvale.machines.tests.harness import DOCUMENT
@@ -128,7 +128,7 @@
         monkeypatch.setattr(json_calls, "HEADER_TIMEOUT_S", 0.1)
 
         async def check():
-            first, second = socket.socketpair(socket.AF_UNIX)
+            first, second = open_socket_pair()
             monkeypatch.setattr(
                 "carawayvale.links.http_server.HttpServer.__init__",
                 make_server,
--- a/carawayvale/soak/endpoints.py
+++ b/carawayvale/soak/endpoints.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import curio
-from curio.io import Socket
 
 from carawayvale.catalogue.records import RequestLimits
 from carawayvale.contracts.address import Address
@@ -17,6 +16,7 @@
 from carawayvale.links.http import READ_BYTES
 from carawayvale.links.listener import Listener
 from carawayvale.links.listener import open_listener
+from carawayvale.links.sockets import StreamSocket
 from carawayvale.platform.headers import HEADER_NAMES
 from carawayvale.platform.standin_formats import HEALTH_PATH
 from carawayvale.platform.standin_formats import make_endpoint_entry
@@ -100,7 +100,7 @@
             self.sequence,
         )
 
-    async def serve(self, sock: Socket) -> None:
+    async def serve(self, sock: StreamSocket) -> None:
         """Serve one connection, one request at a time.
 
         :param sock: the connection.
@@ -123,7 +123,7 @@
             late_copy = data if repeated else b""
 
     async def _read_request(
-        self, sock: Socket, parser: RequestParser
+        self, sock: StreamSocket, parser: RequestParser
     ) -> Request | None:
         while (request := parser.parse_next()) is None:
             data = await sock.recv(READ_BYTES)
@@ -132,7 +132,9 @@
             parser.receive(data)
         return request
 
-    async def _handle(self, sock: Socket, request: Request) -> Response | None:
+    async def _handle(
+        self, sock: StreamSocket, request: Request
+    ) -> Response | None:
         """Run or refuse a request; None if its connection was closed."""
         if request.path == HEALTH_PATH:
             return Response(
@@ -154,7 +156,7 @@
         stamp = (HEADER_NAMES.stamp, self.name.encode())
         return Response(200, (echoed, stamp), make_body(find_id(request)))
 
-    async def _work(self, sock: Socket, request: Request) -> bool:
+    async def _work(self, sock: StreamSocket, request: Request) -> bool:
         """Work on a request until it is done or its connection is closed."""
         run = Run(self.name, time.monotonic())
         self.record.runs.setdefault(find_id(request), []).append(run)
--- a/carawayvale/standins/backend.py
+++ b/carawayvale/standins/backend.py
@@ -10,7 +10,6 @@
 from urllib.parse import parse_qsl
 
 import curio
-from curio.io import Socket
 import xxhash
 
 from carawayvale.contracts import headers as names
@@ -23,6 +22,7 @@
 from carawayvale.links.json_calls import read_json
 from carawayvale.links.json_calls import send_json
 from carawayvale.links.json_calls import serve_requests
+from carawayvale.links.sockets import StreamSocket
 from carawayvale.machines.caller_request import parse_cancel_target
 
 MAX_BODY_BYTES = 4096
@@ -132,7 +132,7 @@
         self.cancelled: Counter[str] = Counter()
         self.running: dict[bytes, curio.Task] = {}
 
-    async def handle(self, sock: Socket) -> None:
+    async def handle(self, sock: StreamSocket) -> None:
         """Serve the requests of one connection until it ends.
 
         :param sock: the accepted connection.
--- a/carawayvale/standins/store.py
+++ b/carawayvale/standins/store.py
@@ -10,7 +10,6 @@
 from urllib.parse import unquote
 
 import curio
-from curio.io import Socket
 
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.documents.store import ListedInstance
@@ -22,6 +21,7 @@
 from carawayvale.links.json_calls import read_json
 from carawayvale.links.json_calls import send_json
 from carawayvale.links.json_calls import serve_requests
+from carawayvale.links.sockets import StreamSocket
 
 MAX_BODY_BYTES = 2_500_000
 MAX_WAIT_S = 60.0
@@ -89,7 +89,7 @@
         self.waiting = 0
         self.changed = curio.Event()
 
-    async def handle(self, sock: Socket) -> None:
+    async def handle(self, sock: StreamSocket) -> None:
         """Serve the requests of one connection until it ends.
 
         :param sock: the accepted connection.
