Log how often in a row a request was at crashes

The line request_suspected did not tell a request that is new to an instance from one whose fingerprint differs, whose crashes are counted as one, or whose quarantine has ended. It has the number of crashes in a row now.

--- a/carawayvale/gateway/crash_reports.py
+++ b/carawayvale/gateway/crash_reports.py
@@ -101,6 +101,7 @@
             self.observer.record_crash(
                 report.endpoint,
                 fingerprint.hex(),
+                len(self.quarantine.suspects[fingerprint].crashes),
                 self.quarantine.find_wait(fingerprint, now_s),
                 source,
             )
--- a/carawayvale/gateway/observer.py
+++ b/carawayvale/gateway/observer.py
@@ -204,12 +204,18 @@
         log_event("endpoint_leaving", endpoint=endpoint, owner=owner or "self")
 
     def record_crash(
-        self, endpoint: str, fingerprint: str, wait_s: float, source: str
+        self,
+        endpoint: str,
+        fingerprint: str,
+        crashes: int,
+        wait_s: float,
+        source: str,
     ) -> None:
         """Count and log a crash at which a request was in progress.
 
         :param endpoint: name of the endpoint.
         :param fingerprint: fingerprint of the request.
+        :param crashes: number of its crashes since it was last answered.
         :param wait_s: seconds for which the request is in quarantine.
         :param source: name of the peer that reported it; empty for this
             instance.
@@ -220,6 +226,7 @@
             "WARNING" if wait_s else "INFO",
             fingerprint=fingerprint,
             endpoint=endpoint,
+            crashes=crashes,
             quarantine_s=f"{wait_s:.1f}",
             source=source or "self",
         )
