Record crashes of requests in the store

Cause: what is known of such requests was in the memory of the instances. A new one learns it from its peers, and after the loss of all there is none; requests with one or two crashes were not even told to new peers.

Change: the instance that sees a crash writes a record of it to the store, in a task of its own and before the caller has its response; instances that start apply the records with the reading that they make anyhow, before they are ready. An answer deletes them, a lease ends the others.

A configuration that a peer sends before all items were read no longer makes an instance ready: the records might not be among these changes.

--- a/carawayvale/catalogue/__init__.py
+++ b/carawayvale/catalogue/__init__.py
@@ -4,6 +4,11 @@
 from carawayvale.exports import make_getattr
 
 MODULES = {
+    "crashes": (
+        "CrashRecord",
+        "EndpointCrash",
+        "StoredCrash",
+    ),
     "header_names": ("HeaderNames",),
     "records": (
         "Catalogue",
--- a/carawayvale/catalogue/builder.py
+++ b/carawayvale/catalogue/builder.py
@@ -15,6 +15,7 @@
 from carawayvale.catalogue.replica import StoredItem
 from carawayvale.catalogue.source import CatalogueUpdate
 from carawayvale.catalogue.source import ConfigurationUpdate
+from carawayvale.catalogue.source import CrashUpdate
 from carawayvale.catalogue.source import EndpointUpdate
 from carawayvale.catalogue.source import EvacuationUpdate
 from carawayvale.catalogue.source import InstanceUpdate
@@ -116,6 +117,7 @@
         self.report_versions: dict[str, ReportVersion] = {}
         self.evacuated: set[str] = set()
         self.instances: dict[str, Address] = {}
+        self.crash_updates: list[CrashUpdate] = []
         self.outdated_entries: set[str] = set()
         self.grace_until_s: dict[str, float] = {}
         self.store_returned_s = float("-inf")
@@ -347,6 +349,19 @@
             self.instances[update.name] = update.peers
         return True
 
+    def _keep_crash(self, update: CrashUpdate, now_s: float) -> bool:
+        """Keep the record of a crash, which is no part of the catalogue."""
+        self.crash_updates.append(update)
+        return True
+
+    def take_crash_updates(self) -> list[CrashUpdate]:
+        """Take the changed records of crashes since the last call.
+
+        :returns: the changes in the order in which they were applied.
+        """
+        taken, self.crash_updates = self.crash_updates, []
+        return taken
+
     def drop_expired(self, now_s: float) -> None:
         """Remove entries and evacuations that were not written again.
 
@@ -382,6 +397,7 @@
 UpdateHandler = Callable[[CatalogueBuilder, CatalogueUpdate, float], bool]
 UPDATE_HANDLERS: dict[type, UpdateHandler] = {
     ConfigurationUpdate: CatalogueBuilder._apply_configuration,
+    CrashUpdate: CatalogueBuilder._keep_crash,
     EndpointUpdate: CatalogueBuilder._apply_endpoint,
     EvacuationUpdate: CatalogueBuilder._apply_evacuation,
     InstanceUpdate: CatalogueBuilder._apply_instance,
--- a/carawayvale/catalogue/source.py
+++ b/carawayvale/catalogue/source.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from carawayvale.catalogue.crashes import StoredCrash
 from carawayvale.catalogue.records import Configuration
 from carawayvale.catalogue.records import EndpointRecord
 from carawayvale.catalogue.replica import StoredItem
@@ -43,8 +44,24 @@
     peers: Address | None
 
 
+@dataclass(frozen=True)
+class CrashUpdate:
+    """The changed record of a crash, or None if it was removed.
+
+    :param key: key of its item.
+    :param stored: the record.
+    """
+
+    key: str
+    stored: StoredCrash | None
+
+
 CatalogueUpdate = (
-    ConfigurationUpdate | EndpointUpdate | EvacuationUpdate | InstanceUpdate
+    ConfigurationUpdate
+    | CrashUpdate
+    | EndpointUpdate
+    | EvacuationUpdate
+    | InstanceUpdate
 )
 
 
--- a/carawayvale/gateway/crash_reports.py
+++ b/carawayvale/gateway/crash_reports.py
@@ -1,11 +1,18 @@
 """Tell all instances which requests were in progress at crashes.
 
 A report goes to all linked peers, and each that has not seen it sends it on.
+The records of the crashes in the store tell instances that start after the
+loss of all others.
 """
 
+from collections.abc import Iterable
 from typing import Any
 
+import curio
+
+from carawayvale.catalogue.crashes import EndpointCrash
 from carawayvale.catalogue.records import EndpointRecord
+from carawayvale.catalogue.source import CrashUpdate
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.observer import RequestObserver
@@ -14,18 +21,28 @@
 from carawayvale.links.peer_link import PeerLink
 from carawayvale.links.peers import PeerTable
 from carawayvale.links.peers import register_message_handler
-from carawayvale.steering.quarantine import EndpointCrash
+from carawayvale.platform.crashes import make_crash_key
+from carawayvale.steering.crash_records import CrashRecordQueue
 from carawayvale.steering.quarantine import Quarantine
 
+# Source of the reports that come from the store.
+STORE_SOURCE = "store"
+
 
 class CrashReports:
     """The suspects of this instance, and the reports about them.
 
     :param instance: name of the instance.
     :param observer: records metrics and logs.
+
+    The event ``records_changed`` tells that records are to be written or
+    deleted.
     """
 
     def __init__(self, instance: str, observer: RequestObserver):
+        self.instance = instance
+        self.records = CrashRecordQueue(instance)
+        self.records_changed = curio.Event()
         self.quarantine = Quarantine(instance)
         self.observer = observer
         self.peers: PeerTable | None = None
@@ -71,6 +88,52 @@
         if self.quarantine.suspects:
             await self._apply_answer(AnswerReport(request.fingerprint), "")
 
+    async def apply_stored(self, updates: Iterable[CrashUpdate]) -> None:
+        """Apply changed records of the store, and report new crashes.
+
+        All are applied before another task runs.
+
+        :param updates: the changes.
+        """
+        now_s = read_boot_clock()
+        new_reports = [
+            report
+            for update in updates
+            if (report := self._apply_update(update, now_s)) is not None
+        ]
+        if self.records.find_due(now_s) is not None:
+            await self.records_changed.set()
+        for report in new_reports:
+            await self._send(report, "")
+
+    def _apply_update(
+        self, update: CrashUpdate, now_s: float
+    ) -> CrashReport | None:
+        """Apply a record of the store.
+
+        :returns: the report of its crash if that is new.
+        """
+        stored = update.stored
+        if stored is None:
+            for record in list(self.records.written):
+                if make_crash_key(record) == update.key:
+                    self.records.observe_removed(record, now_s)
+            return None
+        record = stored.record
+        is_new = self.quarantine.record_crash(
+            record.fingerprint, record.crash, now_s
+        )
+        is_cleared = self.quarantine.is_cleared(record)
+        self.records.observe_present(stored, is_cleared, now_s)
+        if not is_new:
+            return None
+        crash = record.crash
+        report = CrashReport(
+            record.fingerprint, crash.endpoint, crash.started_ms
+        )
+        self._observe_crash(report, STORE_SOURCE, now_s)
+        return report
+
     async def greet(self, link: PeerLink) -> None:
         """Tell a newly linked peer which requests are in quarantine.
 
@@ -97,19 +160,36 @@
         crash = EndpointCrash(report.endpoint, report.started_ms)
         now_s = read_boot_clock()
         fingerprint = report.fingerprint
-        if self.quarantine.record_crash(fingerprint, crash, now_s):
-            self.observer.record_crash(
-                report.endpoint,
-                fingerprint.hex(),
-                len(self.quarantine.suspects[fingerprint].crashes),
-                self.quarantine.find_wait(fingerprint, now_s),
-                source,
-            )
-            await self._send(report, source)
+        if not self.quarantine.record_crash(fingerprint, crash, now_s):
+            return
+        self._observe_crash(report, source, now_s)
+        if not source:
+            crashes = self.quarantine.list_crashes(fingerprint)
+            earlier = [known for known in crashes if known != crash]
+            self.records.add(fingerprint, [*earlier, crash], now_s)
+            await self.records_changed.set()
+        await self._send(report, source)
+
+    def _observe_crash(
+        self, report: CrashReport, source: str, now_s: float
+    ) -> None:
+        fingerprint = report.fingerprint
+        self.observer.record_crash(
+            report.endpoint,
+            fingerprint.hex(),
+            len(self.quarantine.list_crashes(fingerprint)),
+            self.quarantine.find_wait(fingerprint, now_s),
+            source,
+        )
 
     async def _apply_answer(self, report: AnswerReport, source: str) -> None:
-        if self.quarantine.record_answer(report.fingerprint):
-            await self._send(report, source)
+        fingerprint = report.fingerprint
+        crashes = self.quarantine.list_crashes(fingerprint)
+        if not self.quarantine.record_answer(fingerprint):
+            return
+        self.records.clear(fingerprint, crashes, not source, read_boot_clock())
+        await self.records_changed.set()
+        await self._send(report, source)
 
     async def _send(self, report: Any, source: str) -> None:
         if self.peers is not None:
--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -17,6 +17,7 @@
 from carawayvale.gateway.body_memory import CALLER_STALL_S
 from carawayvale.gateway.body_memory import OWNER_BODIES_SHARE
 from carawayvale.gateway.change_feed import ChangeFeed
+from carawayvale.gateway.crash_store import CrashStore
 from carawayvale.gateway.feed_notices import FeedNotices
 from carawayvale.gateway.forwarding import limit_forwards
 from carawayvale.gateway.forwarding import OwnerHandler
@@ -132,6 +133,7 @@
             self.node.builder.outages,
         )
         self.registration = Registration(self.store, settings)
+        self.crash_store = CrashStore(self.store, self.node.crash_reports)
         self.reachability_monitor = ReachabilityMonitor(self.node, self.peers)
         proxy_handler = ProxyHandler(self.node)
         memory = self.node.memory
@@ -203,6 +205,7 @@
             FeedNotices(self.change_feed).run,
             self.age_reports.run,
             self.registration.run,
+            self.crash_store.run,
             self.reachability_monitor.run,
             self._tick,
             self._stop_when_requested,
@@ -261,6 +264,9 @@
     ) -> list[StoredItem]:
         node = self.node
         to_publish = node.apply_items(items, confirmed_s)
+        updates = node.builder.take_crash_updates()
+        node.has_read_all = node.has_read_all or self.change_feed.complete
+        await node.crash_reports.apply_stored(updates)
         configuration = node.catalogue.configuration
         if configuration is not None:
             self.caller_server.limits = configuration.limits
@@ -269,7 +275,7 @@
                 header_bytes=configuration.limits.header_bytes
                 + FORWARD_HEADER_BYTES,
             )
-            if not node.leaving:
+            if node.is_ready:
                 await self._join()
         self._update_seeds()
         await node.reconcile_owned()
--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -77,6 +77,7 @@
         self.owners = EndpointOwners(membership)
         self.owned: dict[str, OwnedEndpoint] = {}
         self.released: list[OwnedEndpoint] = []
+        self.has_read_all = False
         self.peer_pools = ConnectionPools()
         self.retry_budgets: dict[str, FleetRetryBudget] = {}
         self.spills: dict[tuple[str, bool], SpillPolicy] = {}
@@ -120,7 +121,17 @@
     @property
     def is_ready(self) -> bool:
         """Whether the instance can serve requests."""
-        return self.catalogue.configuration is not None and not self.leaving
+        return self.is_configured and not self.leaving
+
+    @property
+    def is_configured(self) -> bool:
+        """Whether a configuration is in force.
+
+        Changes from a peer may bring one before all items were read, and
+        with them the requests that crash endpoints.
+        """
+        configuration = self.catalogue.configuration
+        return configuration is not None and self.has_read_all
 
     @property
     def has_organisations(self) -> bool:
--- a/carawayvale/gateway/page_handlers.py
+++ b/carawayvale/gateway/page_handlers.py
@@ -147,6 +147,7 @@
             "endpoints_ejected": sum(o.health.ejected for o in owned),
             "endpoints_limited": len(node.notices.limits.list_limited()),
             "requests_suspected": quarantine.count_suspects(),
+            "crash_records_waiting": len(node.crash_reports.records.writes),
             "quota_buckets": len(node.quotas.owner.buckets),
             "endpoints_partitioned": int(node.reachability.is_partitioned),
             "members": len(node.membership.list_serving()),
--- a/carawayvale/gateway/proxy_handler.py
+++ b/carawayvale/gateway/proxy_handler.py
@@ -109,7 +109,7 @@
         :param request: the request.
         :returns: the response.
         """
-        if self.node.catalogue.configuration is None:
+        if not self.node.is_configured:
             return self._refuse_unconfigured(request)
         host = request.find_text(b"host")
         route = self.node.routes.find(host, request.path)
--- a/carawayvale/gateway/tests/fleet.py
+++ b/carawayvale/gateway/tests/fleet.py
@@ -76,6 +76,7 @@
         self.endpoints: dict[str, FakeEndpoint] = {}
         self.daemons: list[GatewayDaemon] = []
         self.tasks: list[curio.Task] = []
+        self.instance_tasks: list[curio.Task] = []
         self.call_count = 0
         self.store_address = None
 
@@ -115,9 +116,24 @@
         source = await self.make_source(settings)
         daemon = GatewayDaemon(settings, HEADER_NAMES, source, b"test")
         self.daemons.append(daemon)
-        self.tasks.append(await curio.spawn(daemon.run, daemon=True))
+        task = await curio.spawn(daemon.run, daemon=True)
+        self.tasks.append(task)
+        self.instance_tasks.append(task)
         return daemon
 
+    async def lose_all_instances(self):
+        """End all instances at once, and start as many with their names."""
+        lost, self.daemons = self.daemons, []
+        tasks, self.instance_tasks = self.instance_tasks, []
+        for task in tasks:
+            await task.cancel(blocking=False)
+        for task in tasks:
+            await task.wait()
+        for daemon in lost:
+            settings = daemon.settings
+            await self.add_instance(settings.name, settings.domain)
+        await self.wait_ready()
+
     async def make_source(self, settings):
         """Make the decoder of the store's items for one instance."""
         return PlatformSource(settings.regions)
--- a/carawayvale/gateway/tests/test_leaving_clients.py
+++ b/carawayvale/gateway/tests/test_leaving_clients.py
@@ -11,6 +11,7 @@
 from carawayvale.links.listener import open_listener
 from carawayvale.links.sockets import open_socket_pair
 from carawayvale.links.sockets import StreamSocket
+from carawayvale.links.tests.test_sockets import turn
 
 REQUEST = b"GET /a/ HTTP/1.1\r\nhost: a.example\r\n\r\n"
 PIPELINED = 4
@@ -24,12 +25,6 @@
 TIMEOUT_S = 30.0
 
 
-async def turn(number):
-    """Let the event loop turn a number of times."""
-    for _ in range(number):
-        await curio.sleep(0)
-
-
 async def leave_by_close(client):
     """Close the connection, which resets it if responses are unread."""
     await client.close()
--- a/carawayvale/platform/source.py
+++ b/carawayvale/platform/source.py
@@ -6,6 +6,7 @@
 from carawayvale.catalogue.replica import StoredItem
 from carawayvale.catalogue.source import CatalogueUpdate
 from carawayvale.catalogue.source import ConfigurationUpdate
+from carawayvale.catalogue.source import CrashUpdate
 from carawayvale.catalogue.source import EndpointUpdate
 from carawayvale.catalogue.source import EvacuationUpdate
 from carawayvale.catalogue.source import InstanceUpdate
@@ -14,6 +15,8 @@
 from carawayvale.platform.configuration import CONFIGURATION_KEY
 from carawayvale.platform.configuration import decode_configuration
 from carawayvale.platform.configuration import EVACUATE_PREFIX
+from carawayvale.platform.crashes import CRASHES_PREFIX
+from carawayvale.platform.crashes import decode_crash
 from carawayvale.platform.endpoints import decode_endpoint
 from carawayvale.platform.endpoints import SERVERS_PREFIX
 from carawayvale.platform.values import parse_address
@@ -56,6 +59,10 @@
             return EndpointUpdate(name, None)
         return EndpointUpdate(name, decode_endpoint(item, self.regions))
 
+    def _decode_crash(self, item: StoredItem) -> CatalogueUpdate:
+        stored = None if item.value is None else decode_crash(item)
+        return CrashUpdate(item.key, stored)
+
     def _decode_instance(self, item: StoredItem) -> CatalogueUpdate:
         name = item.key.removeprefix(INSTANCES_PREFIX)
         if item.value is None:
@@ -79,4 +86,5 @@
     CONFIGURATION_KEY: PlatformSource._decode_configuration,
     SERVERS_PREFIX: PlatformSource._decode_endpoint,
     INSTANCES_PREFIX: PlatformSource._decode_instance,
+    CRASHES_PREFIX: PlatformSource._decode_crash,
 }
--- a/carawayvale/platform/store_client.py
+++ b/carawayvale/platform/store_client.py
@@ -1,6 +1,7 @@
 """Client for all calls to the platform's key-value store."""
 
 import base64
+from collections.abc import Sequence
 from dataclasses import dataclass
 import json
 from typing import Any
@@ -88,6 +89,17 @@
     value: bytes
     lease: Lease | None = None
 
+    def make_row(self) -> dict[str, Any]:
+        """Make the row of a call that writes the value.
+
+        :returns: the fields of the row.
+        """
+        return {
+            "key": self.key,
+            "value": base64.b64encode(self.value).decode("ascii"),
+            "lease": self.lease.number if self.lease else 0,
+        }
+
 
 class StoreClient:
     """Client that calls the platform's store over pooled connections.
@@ -229,31 +241,59 @@
             returned from a copy since the expected position.
         """
         self._check_lease(write.lease, self.epoch)
-        row = {
-            "key": write.key,
-            "value": base64.b64encode(write.value).decode("ascii"),
-            "lease": write.lease.number if write.lease else 0,
-        }
         conditions = []
         position = unpack_position(expected or 0)
         if position.revision and position.epoch != self.epoch:
             return False
         if expected is not None:
             conditions = [{"key": write.key, "rev": position.revision}]
-        body = {"expected": conditions, "writes": [row], "deletes": []}
+        body = {
+            "expected": conditions,
+            "writes": [write.make_row()],
+            "deletes": [],
+        }
         response = await self._call("POST", "/kv-txn", body)
         self._check_lease(write.lease, response.epoch)
         if response.status == HTTP_PRECONDITION_FAILED:
             return False
-        if response.status == HTTP_NOT_FOUND:
-            raise LeaseEnded(str(write.lease))
+        self._check_written(response, write.lease)
+        if position.revision and response.epoch != position.epoch:
+            raise StoreFailed(f"{self.address}: returned during a write")
+        return True
+
+    async def change(
+        self,
+        writes: Sequence[Write],
+        deletes: Sequence[str],
+        lease: Lease | None,
+    ) -> None:
+        """Write and delete some keys in one call, all or none of them.
+
+        :param writes: the values to write, all of them with the lease.
+        :param deletes: the keys to delete, which need not exist.
+        :param lease: the lease; None for values that do not expire.
+        :raises LeaseEnded: as :meth:`write` does.
+        :raises StoreFailed: if the store sends no usable response.
+        """
+        self._check_lease(lease, self.epoch)
+        body = {
+            "expected": [],
+            "writes": [write.make_row() for write in writes],
+            "deletes": list(deletes),
+        }
+        response = await self._call("POST", "/kv-txn", body)
+        self._check_lease(lease, response.epoch)
+        self._check_written(response, lease)
+
+    def _check_written(
+        self, response: StoreResponse, lease: Lease | None
+    ) -> None:
+        if response.status == HTTP_NOT_FOUND and lease is not None:
+            raise LeaseEnded(str(lease))
         if response.status != HTTP_OK:
             raise StoreFailed(
                 f"{self.address}: write: status {response.status}"
             )
-        if position.revision and response.epoch != position.epoch:
-            raise StoreFailed(f"{self.address}: returned during a write")
-        return True
 
     async def _expect_ok(
         self, method: str, target: str, body: Any = None
--- a/carawayvale/platform/tests/fakes.py
+++ b/carawayvale/platform/tests/fakes.py
@@ -199,6 +199,9 @@
         for row in body["writes"]:
             value = base64.b64decode(row["value"])
             self.put(row["key"], value, row["lease"])
+        for key in body["deletes"]:
+            if key in self.items:
+                self.remove(key)
         return self._make_response(rev=self.revision)
 
     def _make_response(self, **fields):
--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -54,7 +54,6 @@
         "PlannedStop",
     ),
     "quarantine": (
-        "EndpointCrash",
         "Quarantine",
         "SuspectRequest",
     ),
--- a/carawayvale/steering/quarantine.py
+++ b/carawayvale/steering/quarantine.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from carawayvale.catalogue.crashes import CrashRecord
+from carawayvale.catalogue.crashes import EndpointCrash
 from carawayvale.contracts.hashing import hash_text
 
 # Crashes in a row, of different endpoints, that lead to quarantine.
@@ -30,18 +32,6 @@
 MAX_SUSPECTS = 4096
 
 
-@dataclass(frozen=True)
-class EndpointCrash:
-    """The crash of one process of an endpoint.
-
-    :param endpoint: name of the endpoint.
-    :param started_ms: start of its process in Unix milliseconds.
-    """
-
-    endpoint: str
-    started_ms: int
-
-
 @dataclass
 class SuspectRequest:
     """A request that was in progress at crashes.
@@ -139,6 +129,24 @@
         """
         return sum(bool(s.crashes) for s in self.suspects.values())
 
+    def list_crashes(self, fingerprint: bytes) -> list[EndpointCrash]:
+        """List the crashes of a request since its last answer.
+
+        :param fingerprint: fingerprint of the request.
+        :returns: the crashes.
+        """
+        suspect = self.suspects.get(fingerprint)
+        return list(suspect.crashes) if suspect else []
+
+    def is_cleared(self, record: CrashRecord) -> bool:
+        """Tell whether a request was answered since a crash.
+
+        :param record: the request and the crash.
+        :returns: whether the answer is known.
+        """
+        suspect = self.suspects.get(record.fingerprint)
+        return suspect is not None and record.crash in suspect.cleared
+
     def list_quarantined(
         self, now_s: float
     ) -> list[tuple[bytes, EndpointCrash]]:
