--- a/carawayvale/gateway/crash_reports.py
+++ b/carawayvale/gateway/crash_reports.py
@@ -5,12 +5,12 @@
 loss of all others.
 """
 
-from collections.abc import Iterable
 from typing import Any
 
 import curio
 
 from carawayvale.catalogue.crashes import EndpointCrash
+from carawayvale.catalogue.crashes import StoredCrash
 from carawayvale.catalogue.records import EndpointRecord
 from carawayvale.catalogue.source import CrashUpdate
 from carawayvale.contracts.clock import read_boot_clock
@@ -88,7 +88,7 @@
         if self.quarantine.suspects:
             await self._apply_answer(AnswerReport(request.fingerprint), "")
 
-    async def apply_stored(self, updates: Iterable[CrashUpdate]) -> None:
+    async def apply_stored(self, updates: list[CrashUpdate]) -> None:
         """Apply changed records of the store, and report new crashes.
 
         All are applied before another task runs.
@@ -96,29 +96,31 @@
         :param updates: the changes.
         """
         now_s = read_boot_clock()
-        new_reports = [
-            report
-            for update in updates
-            if (report := self._apply_update(update, now_s)) is not None
-        ]
+        stored = [u.stored for u in updates if u.stored is not None]
+        removed = {u.key for u in updates if u.stored is None}
+        self._apply_removals(removed, now_s)
+        reports = [self._apply_record(record, now_s) for record in stored]
         if self.records.find_due(now_s) is not None:
             await self.records_changed.set()
-        for report in new_reports:
-            await self._send(report, "")
+        for report in reports:
+            if report is not None:
+                await self._send(report, "")
 
-    def _apply_update(
-        self, update: CrashUpdate, now_s: float
+    def _apply_removals(self, keys: set[str], now_s: float) -> None:
+        """Apply the removal of records, of which the keys are known."""
+        if not keys:
+            return
+        for record in list(self.records.written):
+            if make_crash_key(record) in keys:
+                self.records.observe_removed(record, now_s)
+
+    def _apply_record(
+        self, stored: StoredCrash, now_s: float
     ) -> CrashReport | None:
         """Apply a record of the store.
 
         :returns: the report of its crash if that is new.
         """
-        stored = update.stored
-        if stored is None:
-            for record in list(self.records.written):
-                if make_crash_key(record) == update.key:
-                    self.records.observe_removed(record, now_s)
-            return None
         record = stored.record
         is_new = self.quarantine.record_crash(
             record.fingerprint, record.crash, now_s
--- a/carawayvale/gateway/endpoint_exchange.py
+++ b/carawayvale/gateway/endpoint_exchange.py
@@ -13,8 +13,8 @@
 from carawayvale.gateway.upstream import HTTP_SERVER_ERROR
 from carawayvale.gateway.upstream import UpstreamOutcome
 from carawayvale.gateway.upstream import UpstreamResult
-from carawayvale.steering.admission import QueuedRequest
 from carawayvale.steering.health import HealthSignal
+from carawayvale.steering.queued_request import QueuedRequest
 from carawayvale.telemetry.logs import log_event
 
 if TYPE_CHECKING:
--- a/carawayvale/gateway/owned_endpoint.py
+++ b/carawayvale/gateway/owned_endpoint.py
@@ -22,12 +22,12 @@
 from carawayvale.gateway.upstream import UpstreamOutcome
 from carawayvale.gateway.upstream import UpstreamResult
 from carawayvale.steering.admission import EndpointQueue
-from carawayvale.steering.admission import QueuedRequest
 from carawayvale.steering.body_limit import EndpointBodyLimit
 from carawayvale.steering.expected_waits import ExpectedWait
 from carawayvale.steering.health import EndpointHealth
 from carawayvale.steering.load_reports import EndpointLoad
 from carawayvale.steering.load_reports import LoadReport
+from carawayvale.steering.queued_request import QueuedRequest
 from carawayvale.steering.rates import ColdRateLimit
 from carawayvale.steering.repeats import RepeatPolicy
 from carawayvale.steering.stated_limits import StatedLimit
--- a/carawayvale/gateway/quota_calls.py
+++ b/carawayvale/gateway/quota_calls.py
@@ -10,7 +10,6 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 from dataclasses import dataclass
-from enum import Enum
 
 import curio
 
@@ -21,6 +20,11 @@
 from carawayvale.gateway.http_messages import Response
 from carawayvale.gateway.observer import RequestObserver
 from carawayvale.gateway.owner_messages import QUOTA_HEADER
+from carawayvale.gateway.quota_messages import CallKind
+from carawayvale.gateway.quota_messages import decode_grant
+from carawayvale.gateway.quota_messages import encode_fields
+from carawayvale.gateway.quota_messages import encode_grant
+from carawayvale.gateway.quota_messages import SEPARATOR
 from carawayvale.gateway.settings import Bounds
 from carawayvale.links.connections import ConnectionPools
 from carawayvale.links.connections import OutgoingCall
@@ -38,7 +42,6 @@
 from carawayvale.steering.quota_owners import QuotaOwnership
 from carawayvale.telemetry.logs import log_event
 
-SEPARATOR = ";"
 HTTP_OK = 200
 HTTP_BAD_REQUEST = 400
 MAX_RESPONSE_BYTES = 1024
@@ -65,20 +68,6 @@
 FindAddress = Callable[[str], Address | None]
 
 
-class CallKind(Enum):
-    """Kind of a call about a quota.
-
-    ASK requests tokens. FORWARDED is an ASK that another instance passes
-    on, and is not passed on again. RETURN gives unspent tokens back. ADOPT
-    hands a bucket over to its next owner.
-    """
-
-    ASK = "ask"
-    FORWARDED = "forwarded"
-    RETURN = "return"
-    ADOPT = "adopt"
-
-
 @dataclass(frozen=True)
 class QuotaRefusal:
     """Refusal of a request that gets no token.
@@ -102,30 +91,6 @@
     return QuotaLimit(organisation.rate_per_s, organisation.burst)
 
 
-def _encode(*fields: object) -> bytes:
-    return SEPARATOR.join(map(str, fields)).encode("ascii")
-
-
-def _encode_grant(grant: Grant) -> Response:
-    value = _encode(
-        grant.tokens, grant.number, f"{grant.retry_s:.4f}", grant.token_in_s
-    )
-    return Response(HTTP_OK, ((QUOTA_HEADER, value),))
-
-
-def _decode_grant(value: bytes) -> Grant:
-    """Decode the answer of an owner.
-
-    :raises ValueError: if it is malformed.
-    """
-    fields = value.decode("ascii").split(SEPARATOR)
-    if len(fields) != 4:
-        raise ValueError(f"{QUOTA_HEADER.decode()} has {len(fields)} fields")
-    return Grant(
-        int(fields[0]), int(fields[1]), float(fields[2]), float(fields[3])
-    )
-
-
 class QuotaCalls:
     """Quotas of one instance, as their owner and as a user of tokens.
 
@@ -299,7 +264,7 @@
                         name, limit, waiting, expected, sent_s
                     )
                 else:
-                    value = _encode(
+                    value = encode_fields(
                         CallKind.ASK.value,
                         waiting,
                         expected,
@@ -336,7 +301,7 @@
         if received is None:
             return None
         try:
-            return _decode_grant(received)
+            return decode_grant(received)
         except ValueError as error:
             log_event(
                 "quota_response_invalid",
@@ -425,7 +390,7 @@
         """Hand a bucket over to the next owner of its quota."""
         self._handovers += 1
         incarnation = self.membership.own_record.incarnation
-        value = _encode(
+        value = encode_fields(
             CallKind.ADOPT.value,
             f"{handover.level:.4f}",
             incarnation,
@@ -436,7 +401,7 @@
 
     async def _send_back(self, token: QuotaToken, number: int) -> None:
         """Send the returned tokens of one grant back to their owner."""
-        value = _encode(CallKind.RETURN.value, token.number, number)
+        value = encode_fields(CallKind.RETURN.value, token.number, number)
         body = token.organisation.encode()
         await self._call(token.owner, value, body, CALL_TIMEOUT_S)
 
@@ -462,12 +427,12 @@
         """
         first = self.ownership.find(name).name
         if first != self.own_name and self._is_reachable(first):
-            value = _encode(CallKind.FORWARDED.value, *fields)
+            value = encode_fields(CallKind.FORWARDED.value, *fields)
             grant = await self._call_for_grant(
                 first, value, name, FORWARD_TIMEOUT_S
             )
             if grant is not None:
-                return _encode_grant(grant)
+                return encode_grant(grant)
         return await self._handle_forwarded(name, fields)
 
     async def _handle_forwarded(
@@ -479,7 +444,7 @@
         grant = self.owner.grant(
             name, limit, int(waiting), int(expected), read_boot_clock()
         )
-        return _encode_grant(grant)
+        return encode_grant(grant)
 
     async def _handle_return(self, name: str, fields: list[str]) -> Response:
         """Take back unspent tokens."""
--- a/carawayvale/gateway/repeated_exchange.py
+++ b/carawayvale/gateway/repeated_exchange.py
@@ -8,7 +8,7 @@
 from carawayvale.gateway.owner_request import OwnerRequest
 from carawayvale.gateway.upstream import UpstreamOutcome
 from carawayvale.gateway.upstream import UpstreamResult
-from carawayvale.steering.admission import QueuedRequest
+from carawayvale.steering.queued_request import QueuedRequest
 from carawayvale.steering.repeats import start_repeat
 
 if TYPE_CHECKING:
--- a/carawayvale/gateway/tests/test_fleet.py
+++ b/carawayvale/gateway/tests/test_fleet.py
@@ -16,7 +16,7 @@
 from carawayvale.links.connections import OutgoingCall
 from carawayvale.links.http import connect
 from carawayvale.platform.tests.examples import CONFIGURATION
-from carawayvale.steering.admission import QueuedRequest
+from carawayvale.steering.queued_request import QueuedRequest
 from carawayvale.steering.rates import MIN_REGION_SHIFT_SAMPLES
 from carawayvale.steering.rates import MIN_SHIFT_SAMPLES
 
--- a/carawayvale/gateway/tests/test_quota_calls.py
+++ b/carawayvale/gateway/tests/test_quota_calls.py
@@ -8,7 +8,7 @@
 
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.http_messages import Response
-from carawayvale.gateway.quota_calls import CallKind
+from carawayvale.gateway.quota_messages import CallKind
 from carawayvale.gateway.tests.fleet import GatewayFleet
 from carawayvale.gateway.tests.fleet import open_fleet
 from carawayvale.gateway.tests.test_organisations import authorize
--- a/carawayvale/gateway/tests/test_repeated_exchange.py
+++ b/carawayvale/gateway/tests/test_repeated_exchange.py
@@ -9,7 +9,7 @@
 from carawayvale.gateway.tests.test_owned_endpoint import make_owned_endpoint
 from carawayvale.gateway.upstream import UpstreamOutcome
 from carawayvale.gateway.upstream import UpstreamResult
-from carawayvale.steering.admission import QueuedRequest
+from carawayvale.steering.queued_request import QueuedRequest
 
 SUCCESS = UpstreamResult(UpstreamOutcome.ANSWERED, status=200)
 ERROR = UpstreamResult(UpstreamOutcome.ANSWERED, status=500)
--- a/carawayvale/steering/__init__.py
+++ b/carawayvale/steering/__init__.py
@@ -4,12 +4,12 @@
 from carawayvale.exports import make_getattr
 
 MODULES = {
-    "admission": (
-        "EndpointQueue",
-        "QueuedRequest",
-        "Rejection",
-    ),
+    "admission": ("EndpointQueue",),
     "body_limit": ("EndpointBodyLimit",),
+    "crash_records": (
+        "CrashRecordQueue",
+        "RecordBatch",
+    ),
     "departures": ("Departures",),
     "expected_waits": (
         "choose_candidates",
@@ -57,6 +57,11 @@
         "Quarantine",
         "SuspectRequest",
     ),
+    "queued_request": (
+        "QueueClass",
+        "QueuedRequest",
+        "Rejection",
+    ),
     "quota_accounts": (
         "QuotaAccount",
         "QuotaToken",
--- a/carawayvale/steering/repeats.py
+++ b/carawayvale/steering/repeats.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 
 from carawayvale.steering.admission import EndpointQueue
-from carawayvale.steering.admission import QueuedRequest
+from carawayvale.steering.queued_request import QueuedRequest
 
 # Time for the first request to reach the endpoint and to be started.
 START_DELAY_S = 0.03
--- a/carawayvale/steering/tests/test_admission.py
+++ b/carawayvale/steering/tests/test_admission.py
@@ -6,9 +6,9 @@
 import pytest
 
 from carawayvale.steering.admission import EndpointQueue
-from carawayvale.steering.admission import QueueClass
-from carawayvale.steering.admission import QueuedRequest
-from carawayvale.steering.admission import Rejection
+from carawayvale.steering.queued_request import QueueClass
+from carawayvale.steering.queued_request import QueuedRequest
+from carawayvale.steering.queued_request import Rejection
 from carawayvale.steering.rates import ColdRateLimit
 
 
--- a/carawayvale/steering/tests/test_expected_waits.py
+++ b/carawayvale/steering/tests/test_expected_waits.py
@@ -5,12 +5,12 @@
 from carawayvale.catalogue.records import EndpointRecord
 from carawayvale.contracts.address import Address
 from carawayvale.steering.admission import EndpointQueue
-from carawayvale.steering.admission import QueuedRequest
 from carawayvale.steering.expected_waits import choose_candidates
 from carawayvale.steering.expected_waits import ExpectedWait
 from carawayvale.steering.expected_waits import ExpectedWaits
 from carawayvale.steering.expected_waits import MAX_AGE_S
 from carawayvale.steering.expected_waits import parse_wait
+from carawayvale.steering.queued_request import QueuedRequest
 
 REPORT = ExpectedWait(5, 1, 6, 0.4, 0.3, 0.9)
 ENDPOINTS = [
--- a/carawayvale/steering/tests/test_fair_shares.py
+++ b/carawayvale/steering/tests/test_fair_shares.py
@@ -11,10 +11,10 @@
 
 from carawayvale.catalogue.records import OrganisationRecord
 from carawayvale.steering.admission import EndpointQueue
-from carawayvale.steering.admission import QueueClass
-from carawayvale.steering.admission import QueuedRequest
 from carawayvale.steering.fair_shares import FairShares
 from carawayvale.steering.fair_shares import find_weights
+from carawayvale.steering.queued_request import QueueClass
+from carawayvale.steering.queued_request import QueuedRequest
 
 SERVICE_S = 0.1
 SLOTS = 4
--- a/carawayvale/steering/tests/test_load_reports.py
+++ b/carawayvale/steering/tests/test_load_reports.py
@@ -6,10 +6,10 @@
 import pytest
 
 from carawayvale.steering.admission import EndpointQueue
-from carawayvale.steering.admission import QueuedRequest
 from carawayvale.steering.load_reports import EndpointLoad
 from carawayvale.steering.load_reports import LoadReport
 from carawayvale.steering.load_reports import parse_load
+from carawayvale.steering.queued_request import QueuedRequest
 from carawayvale.steering.repeats import start_repeat
 
 STEP_S = 0.01
--- a/carawayvale/steering/tests/test_planned_stops.py
+++ b/carawayvale/steering/tests/test_planned_stops.py
@@ -3,10 +3,10 @@
 import pytest
 
 from carawayvale.steering.admission import EndpointQueue
-from carawayvale.steering.admission import QueuedRequest
 from carawayvale.steering.planned_stops import END_MARGIN_S
 from carawayvale.steering.planned_stops import LATEST_ARRIVAL_S
 from carawayvale.steering.planned_stops import plan_stop
+from carawayvale.steering.queued_request import QueuedRequest
 
 NOW_S = 100.0
 GRACE_S = 6.0
--- a/carawayvale/steering/tests/test_rank_balance.py
+++ b/carawayvale/steering/tests/test_rank_balance.py
@@ -13,8 +13,8 @@
 import pytest
 
 from carawayvale.steering.admission import EndpointQueue
-from carawayvale.steering.admission import QueuedRequest
 from carawayvale.steering.load_reports import LoadReport
+from carawayvale.steering.queued_request import QueuedRequest
 from carawayvale.steering.rank_balance import RankBalance
 
 SLOTS = 6
--- a/carawayvale/steering/tests/test_repeats.py
+++ b/carawayvale/steering/tests/test_repeats.py
@@ -3,7 +3,7 @@
 import pytest
 
 from carawayvale.steering.admission import EndpointQueue
-from carawayvale.steering.admission import QueuedRequest
+from carawayvale.steering.queued_request import QueuedRequest
 from carawayvale.steering.rates import ColdRateLimit
 from carawayvale.steering.rates import FleetRetryBudget
 from carawayvale.steering.repeats import RepeatPolicy
--- a/carawayvale/steering/tests/test_stated_limits.py
+++ b/carawayvale/steering/tests/test_stated_limits.py
@@ -9,7 +9,7 @@
 from carawayvale.catalogue.records import EndpointRecord
 from carawayvale.contracts.address import Address
 from carawayvale.steering.admission import EndpointQueue
-from carawayvale.steering.admission import QueuedRequest
+from carawayvale.steering.queued_request import QueuedRequest
 from carawayvale.steering.repeats import start_repeat
 from carawayvale.steering.stated_limits import BURST_S
 from carawayvale.steering.stated_limits import HANDOVER_S
--- a/carawayvale/steering/tests/test_warm_up.py
+++ b/carawayvale/steering/tests/test_warm_up.py
@@ -5,7 +5,7 @@
 import pytest
 
 from carawayvale.steering.admission import EndpointQueue
-from carawayvale.steering.admission import QueuedRequest
+from carawayvale.steering.queued_request import QueuedRequest
 from carawayvale.steering.warm_up import WarmUpChoices
 
 REGION = "geneva"
