Drop what a caller declares hop-by-hop before anything is added

Cause: the gateway added the organisation to the caller's headers, and what the caller declares to concern one connection was dropped after that, at each hop. An endpoint could have its own stamp dropped in the same way.

Change: one function, called before anything is added, and names that the other side cannot have dropped: host, request id and object of a request, request id and stamp of a response. The product's own wire uses it as well; it had another list of such headers.

--- a/carawayvale/gateway/owner_messages.py
+++ b/carawayvale/gateway/owner_messages.py
@@ -7,10 +7,11 @@
 
 from dataclasses import dataclass
 
+from carawayvale.contracts.headers import HOP_BY_HOP
+from carawayvale.contracts.headers import strip_hop_by_hop
 from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.http_messages import Response
 from carawayvale.gateway.owner_request import OwnerRequest
-from carawayvale.gateway.upstream import strip_hop_by_hop_headers
 from carawayvale.gateway.upstream import UpstreamOutcome
 from carawayvale.gateway.upstream import UpstreamResult
 from carawayvale.links.http import find_header
@@ -73,7 +74,11 @@
         int((owner_request.deadline_s - now_s) * MS_PER_S),
     )
     value = SEPARATOR.join(map(str, fields)).encode("latin-1")
-    headers = strip_hop_by_hop_headers(list(owner_request.request.headers))
+    headers = [
+        (name, field)
+        for name, field in owner_request.request.headers
+        if name not in HOP_BY_HOP
+    ]
     headers.append((REQUEST_HEADER, value))
     return headers
 
@@ -177,9 +182,7 @@
     finish_ms = int(fields[2])
     if abs(finish_ms) > MAX_FINISH_MS:
         raise ValueError(f"{outcome.value} for more than a day")
-    kept = strip_internal_headers(
-        tuple(strip_hop_by_hop_headers(list(headers)))
-    )
+    kept = strip_internal_headers(tuple(strip_hop_by_hop(headers)))
     return UpstreamResult(
         outcome,
         finish_ms / MS_PER_S,
--- a/carawayvale/gateway/proxy_handler.py
+++ b/carawayvale/gateway/proxy_handler.py
@@ -7,12 +7,13 @@
 from carawayvale.catalogue.records import OrganisationRecord
 from carawayvale.catalogue.records import RouteRecord
 from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.caller_headers import prepare_headers
+from carawayvale.gateway.caller_headers import replace_credentials
 from carawayvale.gateway.gateway_node import GatewayNode
 from carawayvale.gateway.http_messages import Request
 from carawayvale.gateway.http_messages import Response
 from carawayvale.gateway.observer import MakeFields
 from carawayvale.gateway.observer import RequestOutcome
-from carawayvale.gateway.owner_messages import strip_internal_headers
 from carawayvale.gateway.owner_request import OwnerRequest
 from carawayvale.gateway.quota_calls import find_limit
 from carawayvale.gateway.quota_calls import QuotaRefusal
@@ -210,10 +211,10 @@
         """Make the request for owners, with its objective and deadline."""
         timeout_s = min(self.find_timeout(request.headers), route.timeout_s)
         arrived_s = request.arrived_s
-        headers = strip_internal_headers(request.headers)
-        if self.node.has_organisations:
-            headers = self._replace_credentials(headers, organisation)
+        headers = prepare_headers(request.headers, self.header_names)
         name = organisation.name if organisation else ""
+        if self.node.has_organisations:
+            headers = replace_credentials(headers, self.header_names, name)
         return OwnerRequest(
             replace(request, headers=headers, organisation=name),
             find_rank(route, organisation),
@@ -223,19 +224,6 @@
             arrived_s + timeout_s,
         )
 
-    def _replace_credentials(
-        self,
-        headers: tuple[tuple[bytes, bytes], ...],
-        organisation: OrganisationRecord | None,
-    ) -> tuple[tuple[bytes, bytes], ...]:
-        """Replace the key of a caller by the name of its organisation."""
-        names = self.header_names
-        dropped = (names.credentials, names.organisation)
-        kept = tuple((n, v) for n, v in headers if n not in dropped)
-        if organisation is None:
-            return kept
-        return (*kept, (names.organisation, organisation.name.encode()))
-
     def _identify_caller(
         self, request: Request, route: RouteRecord
     ) -> Identified | Rejected:
--- a/carawayvale/gateway/tests/test_expected_waits.py
+++ b/carawayvale/gateway/tests/test_expected_waits.py
@@ -3,12 +3,12 @@
 import curio
 
 from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.contracts.headers import strip_hop_by_hop
 from carawayvale.gateway.owner_messages import decode_result
 from carawayvale.gateway.owner_messages import encode_result
 from carawayvale.gateway.owner_messages import INTERNAL_HEADERS
 from carawayvale.gateway.owner_messages import LOAD_HEADER
 from carawayvale.gateway.tests.test_fleet import run_scenario
-from carawayvale.gateway.upstream import strip_hop_by_hop_headers
 from carawayvale.gateway.upstream import UpstreamOutcome
 from carawayvale.gateway.upstream import UpstreamResult
 from carawayvale.steering.expected_waits import ExpectedWait
@@ -30,7 +30,7 @@
     def test_earlier_versions_drop_the_report(self):
         """They must not pass it on to the caller."""
         response = encode_result(make_result(expected_wait=REPORT))
-        kept = strip_hop_by_hop_headers(list(response.headers))
+        kept = strip_hop_by_hop(response.headers)
         assert LOAD_HEADER not in {name for name, _ in kept}
 
     def test_an_endpoint_cannot_report_for_its_owner(self):
--- a/carawayvale/gateway/upstream.py
+++ b/carawayvale/gateway/upstream.py
@@ -8,6 +8,8 @@
 
 from carawayvale.catalogue.header_names import HeaderNames
 from carawayvale.catalogue.records import EndpointRecord
+from carawayvale.contracts.headers import HOP_BY_HOP
+from carawayvale.contracts.headers import strip_hop_by_hop
 from carawayvale.gateway.endpoint_pool import EndpointPool
 from carawayvale.gateway.endpoint_pool import ignore_connect
 from carawayvale.gateway.endpoint_pool import RecordConnect
@@ -37,22 +39,6 @@
 # transfer of that response.
 DEADLINE_MARGIN_S = 0.06
 
-HOP_BY_HOP_HEADERS = frozenset(
-    {
-        b"connection",
-        b"content-length",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"expect",
-    }
-)
-
 
 class UpstreamOutcome(Enum):
     """Outcome of an attempt at an endpoint or its owner.
@@ -125,19 +111,6 @@
         return answered and self.status < HTTP_SERVER_ERROR
 
 
-def strip_hop_by_hop_headers(headers: Headers) -> Headers:
-    """Drop the headers that concern one connection only.
-
-    :param headers: all headers.
-    :returns: the other headers.
-    """
-    dropped = set(HOP_BY_HOP_HEADERS)
-    for name, value in headers:
-        if name == b"connection":
-            dropped.update(v.strip().lower() for v in value.split(b","))
-    return [(n, v) for n, v in headers if n not in dropped]
-
-
 class Upstream:
     """Client of one endpoint with persistent connections.
 
@@ -269,8 +242,11 @@
         header_names = self.header_names
         remaining_ms = b"%d" % max(1, int(remaining_s * MS_PER_S))
         replaced = (header_names.deadline_ms, header_names.expected_endpoint)
-        kept = strip_hop_by_hop_headers(list(request.headers))
-        headers = [(n, v) for n, v in kept if n not in replaced]
+        headers = [
+            (name, value)
+            for name, value in request.headers
+            if name not in replaced and name not in HOP_BY_HOP
+        ]
         headers.append((header_names.deadline_ms, remaining_ms))
         name = self.endpoint.name.encode("latin-1")
         headers.append((header_names.expected_endpoint, name))
@@ -311,7 +287,8 @@
             return UpstreamResult(
                 UpstreamOutcome.FAILED, cause="body is encoded"
             )
-        headers = tuple(strip_hop_by_hop_headers(list(head.headers)))
+        kept = frozenset({header_names.request_id, header_names.stamp})
+        headers = tuple(strip_hop_by_hop(head.headers, kept))
         return UpstreamResult(
             UpstreamOutcome.ANSWERED, 0.0, head.status, headers, body
         )
--- a/carawayvale/machines/caller_request.py
+++ b/carawayvale/machines/caller_request.py
@@ -267,8 +267,8 @@
     :returns: the headers that are neither hop-by-hop nor set by the
         entry instances.
     """
-    dropped = names.SYSTEM_HEADERS | names.HOP_BY_HOP
-    return [pair for pair in headers if pair[0] not in dropped]
+    end_to_end = names.strip_hop_by_hop(headers)
+    return [pair for pair in end_to_end if pair[0] not in names.SYSTEM_HEADERS]
 
 
 def make_framing_header(request: CallerRequest) -> Headers:
@@ -302,9 +302,6 @@
     return text.encode("latin-1")
 
 
-DROPPED_RESPONSE_HEADERS = names.HOP_BY_HOP | names.BACKEND_HEADERS
-
-
 def copy_response_headers(headers: tuple[tuple[bytes, bytes], ...]) -> Headers:
     """Copy the headers of a backend server's response for the caller.
 
@@ -312,8 +309,9 @@
     :returns: the headers that are neither hop-by-hop nor meant for the
         entry instance.
     """
+    end_to_end = names.strip_hop_by_hop(headers)
     return [
-        pair for pair in headers if pair[0] not in DROPPED_RESPONSE_HEADERS
+        pair for pair in end_to_end if pair[0] not in names.BACKEND_HEADERS
     ]
 
 
