End a connection however its reading ends

Cause: the task that reads requests ended by an error that it does not list. The writing task waited for ever, so the socket, its descriptor and its place in the count stayed. A placeholder of status 204 after CONNECT was such an error, a deadline of 400 digits another.

Change: any error ends the input, as the end of the stream does: the requests that were read are answered, then the client gets 400 and the connection is closed and logged once with the place. The placeholder has a status without a meaning of its own for CONNECT, and a deadline has at most 15 digits.

--- a/carawayvale/gateway/proxy_handler.py
+++ b/carawayvale/gateway/proxy_handler.py
@@ -32,6 +32,9 @@
 MS_PER_S = 1000.0
 DEFAULT_TIMEOUT_S = 30.0
 
+# A longer number is no time that a caller waits.
+MAX_DEADLINE_DIGITS = 15
+
 # Network time between the caller and this instance, for the request and
 # the response together; it counts against the objective.
 CALLER_ROUND_TRIP_S = 0.02
@@ -185,7 +188,7 @@
         :returns: seconds since the head of the request arrived.
         """
         value = find_header(headers, self.header_names.deadline_ms) or b""
-        if not value.isdigit():
+        if not value.isdigit() or len(value) > MAX_DEADLINE_DIGITS:
             return DEFAULT_TIMEOUT_S
         return int(value) / MS_PER_S
 
--- a/carawayvale/gateway/request_parser.py
+++ b/carawayvale/gateway/request_parser.py
@@ -41,6 +41,11 @@
         self.status = status
 
 
+# Stands for a response that is sent later. Unlike status 204, it ends no use
+# of HTTP after a request of the method CONNECT.
+PLACEHOLDER = h11.Response(status_code=404, headers=[("content-length", "0")])
+
+
 class RequestParser:
     """Parser of a stream of bytes into complete requests.
 
@@ -220,8 +225,7 @@
 
         The response that is sent later is encoded separately.
         """
-        placeholder = h11.Response(status_code=204, headers=[])
-        self.http.send(placeholder)
+        self.http.send(PLACEHOLDER)
         self._start_next_cycle()
 
     def _start_next_cycle(self) -> None:
--- a/carawayvale/gateway/server_connection.py
+++ b/carawayvale/gateway/server_connection.py
@@ -30,6 +30,7 @@
 from carawayvale.links.sockets import StreamSocket
 from carawayvale.links.turns import STEPS_PER_READ
 from carawayvale.links.turns import TurnCounter
+from carawayvale.telemetry.logs import format_place
 from carawayvale.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -58,6 +59,7 @@
 LINGER_S = 1.0
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+HTTP_BAD_REQUEST = 400
 HTTP_REQUEST_TIMEOUT = 408
 HTTP_BAD_GATEWAY = 502
 HTTP_UNAVAILABLE = 503
@@ -65,6 +67,9 @@
 # Headers of responses to requests that did not arrive.
 ERROR_HEADERS = {HTTP_UNAVAILABLE: ((b"retry-after", b"1"),)}
 
+# An error may quote what the client sent.
+MAX_CAUSE_LENGTH = 120
+
 # Interval at which a body that waits for memory checks for it.
 MEMORY_POLL_S = 0.02
 
@@ -196,6 +201,15 @@
             # A caller may disconnect at any time; its requests are then
             # cancelled.
             log_event("caller_gone", "DEBUG", cause=str(error))
+        except Exception as error:
+            # Whatever ends the reading ends the connection too.
+            log_event(
+                "connection_failed",
+                "ERROR",
+                cause=repr(error)[:MAX_CAUSE_LENGTH],
+                place=format_place(error),
+            )
+            self.error_status = HTTP_BAD_REQUEST
         self.input_ended = True
         await self.changed.set()
 
