Delete the records of an answered request also before their adoption

A record without a lease, whose adoption is queued at the instance that then gets the answer, was taken for one that is not in the store: nobody deleted it, and without a lease it stayed. Found by reading. The instance that gets an answer deletes all records that it knows of.

--- a/carawayvale/steering/crash_records.py
+++ b/carawayvale/steering/crash_records.py
@@ -89,6 +89,7 @@
         self.instance = instance
         self.writes: dict[CrashRecord, QueuedWrite] = {}
         self.deletes: dict[CrashRecord, float] = {}
+        # The latest one last, and without values.
         self.written: dict[CrashRecord, None] = {}
         self.random = random.Random(instance)
         # Time from which on a call is allowed after a burst.
@@ -131,13 +132,17 @@
         """
         for crash in crashes:
             record = CrashRecord(fingerprint, crash)
-            queued = self.writes.pop(record, None)
-            is_written = self.written.pop(record, False) is None
-            is_unwritten = queued is not None and not is_written
-            if is_own_report and not is_unwritten or is_written:
+            self.writes.pop(record, None)
+            if self._forget_written(record) or is_own_report:
                 self.deletes[record] = now_s + DELETE_DELAY_S
         self._limit()
 
+    def _forget_written(self, record: CrashRecord) -> bool:
+        """Forget that this instance has written a record, if it has."""
+        is_written = record in self.written
+        self.written.pop(record, None)
+        return is_written
+
     def observe_present(
         self, stored: StoredCrash, is_cleared: bool, now_s: float
     ) -> None:
@@ -170,7 +175,7 @@
         :param record: the record.
         :param now_s: the time.
         """
-        if self.written.pop(record, False) is None:
+        if self._forget_written(record):
             due_s = now_s + RESTORE_DELAY_S
             self.writes.setdefault(record, QueuedWrite(due_s))
             self._limit()
@@ -224,7 +229,7 @@
         :param now_s: the time.
         """
         for record in batch.writes:
-            self.written.pop(record, None)
+            self._forget_written(record)
             if record in cleared:
                 self.deletes[record] = now_s + DELETE_DELAY_S
             else:
