Bound the doubling of pauses after failed calls to the store

Found in the last reading: the pause was computed as 0.4 * 2**failures and then limited. After 1,024 failures in a row, half an hour of an outage for the watch, the power is too large for a float, and OverflowError ends the task and with it the process. The new writer of crash records had copied the line.

Both call one function now, which bounds the exponent; all pauses are as before.

--- a/carawayvale/gateway/change_feed.py
+++ b/carawayvale/gateway/change_feed.py
@@ -24,6 +24,7 @@
 from carawayvale.gateway.feed_updates import pack_items
 from carawayvale.gateway.feed_updates import unpack_items
 from carawayvale.gateway.feed_updates import UpdateKind
+from carawayvale.gateway.store_backoff import find_pause
 from carawayvale.gateway.store_reader import StoreReader
 from carawayvale.gateway.store_reader import WATCH_WAIT_S
 from carawayvale.gateway.watch_turns import choose_hold
@@ -164,7 +165,9 @@
                 self.outages.record_failure(read_boot_clock())
                 self._record_reachable(False, str(error))
                 await self._request_from_peers()
-                wait_s = min(MAX_RETRY_S, INITIAL_RETRY_S * 2**self.failures)
+                wait_s = find_pause(
+                    self.failures, INITIAL_RETRY_S, MAX_RETRY_S
+                )
                 self.failures += 1
                 await curio.sleep(wait_s)
             except HistoryGone as error:
--- a/carawayvale/gateway/crash_store.py
+++ b/carawayvale/gateway/crash_store.py
@@ -6,6 +6,7 @@
 from carawayvale.catalogue.crashes import StoredCrash
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.crash_reports import CrashReports
+from carawayvale.gateway.store_backoff import find_pause
 from carawayvale.platform.crashes import encode_crash
 from carawayvale.platform.crashes import make_crash_key
 from carawayvale.platform.store_client import Lease
@@ -73,7 +74,7 @@
             log_event("crash_records_failed", "WARNING", cause=str(error))
             now_s = read_boot_clock()
             records.put_back(batch, self._find_cleared(batch), now_s)
-            wait_s = min(MAX_RETRY_S, INITIAL_RETRY_S * 2**self.failures)
+            wait_s = find_pause(self.failures, INITIAL_RETRY_S, MAX_RETRY_S)
             self.failures += 1
             await curio.sleep(wait_s)
             return
