Log and count the use of the own link, loop lag and steps a request

The logs could not tell a jam of the own link from a failure of another instance, nor a busy event loop from either, nor why requests of one kind were not served (docs/incidents/unequal-instances.md).

Each instance measures what it sends and receives against the bandwidth in its settings, the delay of its timers, and counts hops and unserved requests by kind and reason. A line every two seconds shows the greatest values and the growth of the counters. No decision uses them yet.

--- /dev/null
+++ b/carawayvale/capacity/link_meter.py
@@ -0,0 +1,95 @@
+"""Measure the use of the network link of a process.
+
+The queue of the link is not visible to the process. It is derived from what
+was sent and from the bandwidth: a leaky bucket that is never limited. What
+is received has waited at the other end, so only its rate is known.
+"""
+
+import math
+
+BITS_PER_BYTE = 8
+BITS_PER_MEGABIT = 1_000_000
+
+# Time over which the rate of received bytes is averaged.
+RECEIVE_WINDOW_S = 0.25
+
+
+class LinkMeter:
+    """Bytes sent and received over a link of a known bandwidth.
+
+    :param bandwidth_mbps: bandwidth in each direction in Mbit/s; infinity
+        if it is not known.
+
+    >>> meter = LinkMeter(8.0)
+    >>> meter.record_sent(500_000, 1.0)
+    >>> meter.find_queue(1.0), meter.find_queue(1.2)
+    (0.5, 0.3)
+    """
+
+    def __init__(self, bandwidth_mbps: float = math.inf):
+        self.set_bandwidth(bandwidth_mbps)
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self._queued_bytes = 0.0
+        self._sent_s = 0.0
+        self._recent_bytes = 0.0
+        self._received_s = 0.0
+
+    def set_bandwidth(self, bandwidth_mbps: float) -> None:
+        """Set the bandwidth.
+
+        :param bandwidth_mbps: Mbit/s in each direction, above 0.
+        """
+        bits_per_s = bandwidth_mbps * BITS_PER_MEGABIT
+        self.bytes_per_s = bits_per_s / BITS_PER_BYTE
+
+    def record_sent(self, size: int, now_s: float) -> None:
+        """Record bytes that were given to the link.
+
+        :param size: their number.
+        :param now_s: the time.
+        """
+        self.sent_bytes += size
+        self._queued_bytes = self._count_queued(now_s) + size
+        self._sent_s = now_s
+
+    def record_received(self, size: int, now_s: float) -> None:
+        """Record bytes that have arrived.
+
+        :param size: their number.
+        :param now_s: the time.
+        """
+        self.received_bytes += size
+        self._recent_bytes = self._count_recent(now_s) + size
+        self._received_s = now_s
+
+    def _count_queued(self, now_s: float) -> float:
+        if math.isinf(self.bytes_per_s):
+            return 0.0
+        sent_bytes = (now_s - self._sent_s) * self.bytes_per_s
+        return max(0.0, self._queued_bytes - sent_bytes)
+
+    def _count_recent(self, now_s: float) -> float:
+        age_s = max(0.0, now_s - self._received_s)
+        return self._recent_bytes * math.exp(-age_s / RECEIVE_WINDOW_S)
+
+    def find_queue(self, now_s: float) -> float:
+        """Find how long bytes that are sent now wait for the link.
+
+        :param now_s: the time.
+        :returns: seconds.
+        """
+        return round(self._count_queued(now_s) / self.bytes_per_s, 6)
+
+    def find_receive_share(self, now_s: float) -> float:
+        """Find the share of the bandwidth that received bytes took lately.
+
+        :param now_s: the time.
+        :returns: the share; bursts may exceed 1.
+        """
+        rate = self._count_recent(now_s) / RECEIVE_WINDOW_S
+        return rate / self.bytes_per_s
+
+
+# Link of the machine on which this process runs.
+OWN_LINK = LinkMeter()
--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from carawayvale.capacity.link_meter import OWN_LINK
 from carawayvale.catalogue.header_names import HeaderNames
 from carawayvale.catalogue.replica import StoredItem
 from carawayvale.catalogue.source import Source
@@ -22,6 +23,7 @@
 from carawayvale.gateway.forwarding import limit_forwards
 from carawayvale.gateway.forwarding import OwnerHandler
 from carawayvale.gateway.gateway_node import GatewayNode
+from carawayvale.gateway.load_monitor import LoadMonitor
 from carawayvale.gateway.observer import format_ms
 from carawayvale.gateway.page_handlers import LookupHandler
 from carawayvale.gateway.page_handlers import MetricsHandler
@@ -135,6 +137,9 @@
         self.registration = Registration(self.store, settings)
         self.crash_store = CrashStore(self.store, self.node.crash_reports)
         self.reachability_monitor = ReachabilityMonitor(self.node, self.peers)
+        self.load_monitor = LoadMonitor(
+            self.node.observer, OWN_LINK, self.node.loop_lag
+        )
         proxy_handler = ProxyHandler(self.node)
         memory = self.node.memory
         self.caller_server = RequestServer(
@@ -207,6 +212,7 @@
             self.registration.run,
             self.crash_store.run,
             self.reachability_monitor.run,
+            self.load_monitor.run,
             self._tick,
             self._stop_when_requested,
         ]
--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -245,6 +245,7 @@
         if owned is None:
             return UpstreamResult(UpstreamOutcome.UNUSABLE)
         return await owned.serve(owner_request)
+    node.observer.count_hop(endpoint.service)
     address: Address | None = node.find_internal_address(owner)
     if address is None:
         raise OwnerUnreachable(owner)
--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import replace
 
+from carawayvale.capacity.loop_lag import LoopLag
 from carawayvale.catalogue.builder import CatalogueBuilder
 from carawayvale.catalogue.header_names import HeaderNames
 from carawayvale.catalogue.records import Catalogue
@@ -92,6 +93,7 @@
         self.configuration_age = ConfigurationAge(lambda: self.settings.bounds)
         self.members_changed_s = self.configured_s
         self.observer = RequestObserver()
+        self.loop_lag = LoopLag()
         self.notices = EndpointNotices(
             header_names, self.observer, self._group_usable_endpoints
         )
--- /dev/null
+++ b/carawayvale/gateway/load_monitor.py
@@ -0,0 +1,105 @@
+"""Measure and log how much of an instance is in use."""
+
+from collections.abc import Mapping
+
+import curio
+
+from carawayvale.capacity.link_meter import LinkMeter
+from carawayvale.capacity.loop_lag import LoopLag
+from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.observer import format_ms
+from carawayvale.gateway.observer import RequestObserver
+from carawayvale.telemetry.logs import log_event
+
+SAMPLE_INTERVAL_S = 0.05
+LOG_INTERVAL_S = 2.0
+
+BYTES_PER_KB = 1000
+
+# By field of the log line: name of the counter whose growth it shows.
+COUNTERS = {
+    "requests": "requests",
+    "attempts": "attempts",
+    "hops": "hops",
+    "unserved": "unserved",
+    "quota_calls": "quota_calls",
+}
+
+
+class LoadMonitor:
+    """Task that measures the event loop and the link of the process.
+
+    :param observer: recorder of metrics.
+    :param link: link of the process.
+    :param loop_lag: delays of the event loop.
+    """
+
+    def __init__(
+        self, observer: RequestObserver, link: LinkMeter, loop_lag: LoopLag
+    ):
+        self.observer = observer
+        self.link = link
+        self.loop_lag = loop_lag
+        self.worst_queue_s = 0.0
+        self.worst_receive_share = 0.0
+        self._logged_s = read_boot_clock()
+        self._totals: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Measure until cancelled."""
+        while True:
+            due_s = read_boot_clock() + SAMPLE_INTERVAL_S
+            await curio.sleep(SAMPLE_INTERVAL_S)
+            now_s = read_boot_clock()
+            self.sample(now_s - due_s, now_s)
+            if now_s - self._logged_s >= LOG_INTERVAL_S:
+                self._log(now_s)
+
+    def sample(self, delay_s: float, now_s: float) -> None:
+        """Take one measurement.
+
+        :param delay_s: delay of the timer in seconds.
+        :param now_s: the time.
+        """
+        self.loop_lag.record(delay_s, now_s)
+        queue_s = self.link.find_queue(now_s)
+        self.worst_queue_s = max(self.worst_queue_s, queue_s)
+        share = self.link.find_receive_share(now_s)
+        self.worst_receive_share = max(self.worst_receive_share, share)
+
+    def _log(self, now_s: float) -> None:
+        """Log the greatest values and the growth since the last line."""
+        self._logged_s = now_s
+        lag_s, queue_s = self.loop_lag.take_worst(), self.worst_queue_s
+        metrics = self.observer.metrics
+        metrics.set_gauge("loop_lag_s", "", lag_s)
+        metrics.set_gauge("link_queue_s", "", queue_s)
+        metrics.set_gauge("link_received", "", self.worst_receive_share)
+        log_event(
+            "instance_load",
+            loop_lag_ms=format_ms(lag_s),
+            link_queue_ms=format_ms(queue_s),
+            link_received=round(self.worst_receive_share, 2),
+            **self._measure_growth(),
+        )
+        self.worst_queue_s = self.worst_receive_share = 0.0
+
+    def _measure_growth(self) -> Mapping[str, int]:
+        """Measure the growth of counters since the last call."""
+        totals = {
+            "sent_kb": self.link.sent_bytes // BYTES_PER_KB,
+            "received_kb": self.link.received_bytes // BYTES_PER_KB,
+        }
+        counters = self.observer.metrics.counters
+        for field, wanted in COUNTERS.items():
+            totals[field] = sum(
+                number
+                for (name, _), number in counters.items()
+                if name == wanted
+            )
+        growth = {
+            field: total - self._totals.get(field, 0)
+            for field, total in totals.items()
+        }
+        self._totals = totals
+        return growth
--- a/carawayvale/gateway/observer.py
+++ b/carawayvale/gateway/observer.py
@@ -97,6 +97,22 @@
         """
         self.metrics.record(str(rank), "caller", took_s)
 
+    def count_hop(self, service: str) -> None:
+        """Count an attempt that is forwarded to another instance.
+
+        :param service: name of the service.
+        """
+        self.metrics.count("hops", service)
+
+    def count_unserved(self, service: str, rank: int, reason: str) -> None:
+        """Count a request that no endpoint served, by its kind and reason.
+
+        :param service: name of the service.
+        :param rank: rank of the request.
+        :param reason: why it was not served.
+        """
+        self.metrics.count("unserved", f"{service}/{rank}/{reason}")
+
     def count_refusal(self, rank: int, reason: str) -> None:
         """Count a refused request by reason.
 
--- a/carawayvale/gateway/proxy_handler.py
+++ b/carawayvale/gateway/proxy_handler.py
@@ -157,6 +157,7 @@
             result = await self.attempts.run(context) or context.fallback
         except curio.CancelledError:
             self._return_token(context)
+            self._count_unserved(context, RequestOutcome.ABANDONED.value)
             self._record_outcome(
                 context,
                 RequestOutcome.ABANDONED,
@@ -322,6 +323,7 @@
             "retry_s": round(refusal.retry_s, 3),
         }
         self._record_refusal(context.request, context.rank, fields)
+        self._count_unserved(context, refusal.reason)
         return self._refuse(context.request, refusal.retry_s, status)
 
     def _record_refusal(
@@ -347,6 +349,8 @@
         revision = self.node.catalogue.revision
         if context.may_have_run:
             late = now_s >= context.owner_request.deadline_s
+            stop_reason = context.stop_reason or StopReason.NO_CANDIDATE
+            self._count_unserved(context, stop_reason.value)
             status = HTTP_GATEWAY_TIMEOUT if late else HTTP_BAD_GATEWAY
             self._record_outcome(
                 context,
@@ -362,9 +366,15 @@
         failure = context.describe_failure(now_s, revision)
         fields = {"reason": reason, **failure, "retry_s": retry_s}
         self.node.observer.count_refusal(rank, reason)
+        self._count_unserved(context, reason)
         self._record_outcome(context, RequestOutcome.REFUSED, lambda: fields)
         return self._refuse(request, retry_s)
 
+    def _count_unserved(self, context: RequestContext, reason: str) -> None:
+        self.node.observer.count_unserved(
+            context.service, context.rank, reason
+        )
+
     @staticmethod
     def _find_refusal_reason(context: RequestContext) -> str:
         if context.quarantine_s:
--- a/carawayvale/links/sockets.py
+++ b/carawayvale/links/sockets.py
@@ -20,7 +20,10 @@
 from curio.traps import _read_wait
 from curio.traps import _write_wait
 
+from carawayvale.capacity.link_meter import LinkMeter
+from carawayvale.capacity.link_meter import OWN_LINK
 from carawayvale.contracts.address import Address
+from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.telemetry.logs import log_event
 
 READ = "read"
@@ -40,10 +43,12 @@
     ConnectionAbortedError. The descriptor stays open until it has run.
 
     :param sock: the socket, connected or not, plain or with TLS.
+    :param link: link that its bytes take.
     """
 
-    def __init__(self, sock: plain_socket.socket):
+    def __init__(self, sock: plain_socket.socket, link: LinkMeter = OWN_LINK):
         super().__init__(sock)
+        self.link = link
         self.is_closing = False
         # What each task waits for that waits, or was woken and has not run.
         self.waits: list[str] = []
@@ -83,11 +88,14 @@
         """
         while True:
             try:
-                return self._get_open().recv(maxsize, flags)
+                data = self._get_open().recv(maxsize, flags)
             except WantRead:
                 await self._wait(READ)
             except WantWrite:
                 await self._wait(WRITE)
+            else:
+                self.link.record_received(len(data), read_boot_clock())
+                return data
 
     async def sendall(self, data: bytes, flags: int = 0) -> None:
         """Send bytes.
@@ -100,11 +108,14 @@
             sent = 0
             while sent < len(view):
                 try:
-                    sent += self._get_open().send(view[sent:], flags)
+                    size = self._get_open().send(view[sent:], flags)
                 except WantWrite:
                     await self._wait(WRITE)
                 except WantRead:
                     await self._wait(READ)
+                else:
+                    sent += size
+                    self.link.record_sent(size, read_boot_clock())
 
     async def accept(self) -> tuple["StreamSocket", Any]:
         """Accept a connection.
@@ -115,7 +126,7 @@
         while True:
             try:
                 client, address = self._get_open().accept()
-                return type(self)(client), address
+                return type(self)(client, self.link), address
             except WantRead:
                 await self._wait(READ)
 
--- a/carawayvale/platform/gateway_command.py
+++ b/carawayvale/platform/gateway_command.py
@@ -3,6 +3,7 @@
 import os
 import sys
 
+from carawayvale.capacity.link_meter import OWN_LINK
 from carawayvale.commands.daemon_runner import run_daemon
 from carawayvale.contracts.findings import InvalidInput
 from carawayvale.gateway.daemon import GatewayDaemon
@@ -31,6 +32,7 @@
     except InvalidInput as error:
         print(error, file=sys.stderr)
         return EXIT_INVALID
+    OWN_LINK.set_bandwidth(settings.link_mbps)
     key = os.environ.get(KEY_VARIABLE, "").encode()
     source = PlatformSource(settings.regions)
     daemon = GatewayDaemon(settings, HEADER_NAMES, source, key)
