Give unequal instances parts of the demand by what they carry

Callers saw late answers, refusals and failures on deployments whose instances differ by twenty times in their links. Each instance got an equal part of look-ups, of endpoints and of quotas.

Each instance writes its capacity to the store with its address. One decision turns capacities into weights, from the share of a core and the bandwidth, by no name or class; the same everywhere from the same entries. Look-ups name an instance as often as its weight says, and the region's where the failure domain has less than two strong ones; owners of endpoints and of quotas are chosen by weighted rendezvous hashing, with bounds by weight; strong instances watch the store first. Instances of equal capacity have weights of exactly 1: for them nothing changes.

--- a/carawayvale/capacity/__init__.py
+++ b/carawayvale/capacity/__init__.py
@@ -3,5 +3,13 @@
 from carawayvale.capacity.link_meter import LinkMeter
 from carawayvale.capacity.link_meter import OWN_LINK
 from carawayvale.capacity.loop_lag import LoopLag
+from carawayvale.capacity.weights import Capacity
+from carawayvale.capacity.weights import InstanceWeights
 
-__all__ = ["LinkMeter", "LoopLag", "OWN_LINK"]
+__all__ = [
+    "Capacity",
+    "InstanceWeights",
+    "LinkMeter",
+    "LoopLag",
+    "OWN_LINK",
+]
--- a/carawayvale/catalogue/builder.py
+++ b/carawayvale/catalogue/builder.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from dataclasses import replace
 
+from carawayvale.capacity.weights import Capacity
 from carawayvale.catalogue.outages import OutageDetector
 from carawayvale.catalogue.position import find_epoch
 from carawayvale.catalogue.position import unpack_position
@@ -13,6 +14,7 @@
 from carawayvale.catalogue.records import EMPTY_CATALOGUE
 from carawayvale.catalogue.records import EndpointRecord
 from carawayvale.catalogue.replica import StoredItem
+from carawayvale.catalogue.source import CapacityUpdate
 from carawayvale.catalogue.source import CatalogueUpdate
 from carawayvale.catalogue.source import ConfigurationUpdate
 from carawayvale.catalogue.source import CrashUpdate
@@ -118,6 +120,7 @@
         self.evacuated: set[str] = set()
         self.instances: dict[str, Address] = {}
         self.crash_updates: list[CrashUpdate] = []
+        self.capacities: dict[str, Capacity] = {}
         self.outdated_entries: set[str] = set()
         self.grace_until_s: dict[str, float] = {}
         self.store_returned_s = float("-inf")
@@ -349,6 +352,12 @@
             self.instances[update.name] = update.peers
         return True
 
+    def _apply_capacity(self, update: CapacityUpdate, now_s: float) -> bool:
+        """Record a capacity; it holds for a later process of the instance."""
+        if update.capacity is not None:
+            self.capacities[update.name] = update.capacity
+        return True
+
     def _keep_crash(self, update: CrashUpdate, now_s: float) -> bool:
         """Keep the record of a crash, which is no part of the catalogue."""
         self.crash_updates.append(update)
@@ -396,6 +405,7 @@
 
 UpdateHandler = Callable[[CatalogueBuilder, CatalogueUpdate, float], bool]
 UPDATE_HANDLERS: dict[type, UpdateHandler] = {
+    CapacityUpdate: CatalogueBuilder._apply_capacity,
     ConfigurationUpdate: CatalogueBuilder._apply_configuration,
     CrashUpdate: CatalogueBuilder._keep_crash,
     EndpointUpdate: CatalogueBuilder._apply_endpoint,
--- a/carawayvale/catalogue/source.py
+++ b/carawayvale/catalogue/source.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from carawayvale.capacity.weights import Capacity
 from carawayvale.catalogue.crashes import StoredCrash
 from carawayvale.catalogue.records import Configuration
 from carawayvale.catalogue.records import EndpointRecord
@@ -44,6 +45,14 @@
     peers: Address | None
 
 
+@dataclass(frozen=True)
+class CapacityUpdate:
+    """The capacity of an instance, or None if its entry was removed."""
+
+    name: str
+    capacity: Capacity | None
+
+
 @dataclass(frozen=True)
 class CrashUpdate:
     """The changed record of a crash, or None if it was removed.
@@ -57,7 +66,8 @@
 
 
 CatalogueUpdate = (
-    ConfigurationUpdate
+    CapacityUpdate
+    | ConfigurationUpdate
     | CrashUpdate
     | EndpointUpdate
     | EvacuationUpdate
--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -6,6 +6,8 @@
 import curio
 
 from carawayvale.capacity.link_meter import OWN_LINK
+from carawayvale.capacity.weights import Capacity
+from carawayvale.capacity.weights import InstanceWeights
 from carawayvale.catalogue.header_names import HeaderNames
 from carawayvale.catalogue.replica import StoredItem
 from carawayvale.catalogue.source import Source
@@ -170,6 +172,7 @@
         self.stop_requested = curio.Event()
         self.listed_instances: dict[str, Address] = {}
         self.listed_seeds = settings.seeds
+        self.listed_capacities: dict[str, Capacity] = {}
 
     async def run(self) -> None:
         """Serve until a planned stop is complete."""
@@ -284,6 +287,7 @@
             if node.is_ready:
                 await self._join()
         self._update_seeds()
+        await self._update_weights()
         await node.reconcile_owned()
         return to_publish
 
@@ -299,6 +303,15 @@
         if not known.issuperset(self.peers.seeds):
             self.peers.last_redial_s = 0.0
 
+    async def _update_weights(self) -> None:
+        """Apply changed capacities of instances."""
+        capacities = self.node.builder.capacities
+        if capacities == self.listed_capacities:
+            return
+        self.listed_capacities = dict(capacities)
+        self.node.membership.set_weights(InstanceWeights(capacities))
+        await self.peers.update_neighbours()
+
     async def _join(self) -> None:
         """Become a serving member, once there is a configuration.
 
--- a/carawayvale/gateway/endpoint_owners.py
+++ b/carawayvale/gateway/endpoint_owners.py
@@ -60,7 +60,12 @@
             ]
         )
         self.owner_table.set_candidates(
-            Candidate(record.name, record.region, record.domain)
+            Candidate(
+                record.name,
+                record.region,
+                record.domain,
+                self.membership.weights.find(record.name),
+            )
             for record in self.membership.list_serving()
         )
         return self.owner_table.assign()
--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import replace
+from random import Random
 
 from carawayvale.capacity.loop_lag import LoopLag
 from carawayvale.catalogue.builder import CatalogueBuilder
@@ -43,6 +44,8 @@
 from carawayvale.steering.routing import RouteTable
 from carawayvale.steering.spill import SpillPolicy
 from carawayvale.telemetry.logs import log_event
+from carawayvale.zones.caller_instances import choose_near
+from carawayvale.zones.caller_instances import sample_by_weight
 
 # Fraction of the retry budget that repeats for new objects leave for
 # requests that failed.
@@ -94,6 +97,7 @@
         self.members_changed_s = self.configured_s
         self.observer = RequestObserver()
         self.loop_lag = LoopLag()
+        self.random = Random(membership.own_record.incarnation)
         self.notices = EndpointNotices(
             header_names, self.observer, self._group_usable_endpoints
         )
@@ -390,10 +394,11 @@
         :param domain: failure domain of the caller.
         :param region: region of the caller.
         :param host: host name that the caller requests.
-        :returns: the instances of the failure domain if there are at
-            least two; else those of the region; else those of the
-            regions that may serve the host; else all. Instances that are
-            leaving count only if there are no others.
+        :returns: the instances of the failure domain if these are strong
+            enough; else those of the region; else those of the regions
+            that may serve the host; else all. Each is chosen as often as
+            its weight says. Instances that are leaving count only if there
+            are no others.
         """
         alive = [
             r
@@ -403,12 +408,12 @@
         ]
         # If all instances leave at once, some of them still take requests.
         alive = alive or self.membership.list_recently_left()
-        nearby = [r for r in alive if r.domain == domain]
-        if len(nearby) < 2:
-            nearby = [r for r in alive if r.region == region]
+        find_weight = self.membership.weights.find
+        nearby = choose_near(alive, domain, region, find_weight)
         allowed_regions = self.routes.find_allowed_regions(host)
-        return (
+        usable = (
             nearby
             or [r for r in alive if r.region in allowed_regions]
             or alive
         )
+        return sample_by_weight(usable, find_weight, self.random)
--- a/carawayvale/gateway/quota_calls.py
+++ b/carawayvale/gateway/quota_calls.py
@@ -384,7 +384,8 @@
         if serving is not self._serving:
             self._serving = serving
             names = [record.name for record in serving]
-            self.owner.set_members(names, now_s)
+            find_weight = self.membership.weights.find
+            self.owner.set_members(names, now_s, find_weight)
 
     async def _hand_over(self, handover: Handover) -> None:
         """Hand a bucket over to the next owner of its quota."""
--- a/carawayvale/gateway/registration.py
+++ b/carawayvale/gateway/registration.py
@@ -4,8 +4,11 @@
 
 import curio
 
+from carawayvale.capacity.weights import Capacity
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.settings import GatewaySettings
+from carawayvale.platform.capacities import CAPACITIES_PREFIX
+from carawayvale.platform.capacities import encode_capacity
 from carawayvale.platform.source import encode_instance
 from carawayvale.platform.source import INSTANCES_PREFIX
 from carawayvale.platform.store_client import Lease
@@ -60,13 +63,28 @@
                 return
             await curio.sleep(POLL_S)
 
+    def _make_writes(self, lease: Lease) -> list[Write]:
+        """Make the entries of the instance: its address and its capacity."""
+        settings = self.settings
+        capacity = Capacity(settings.cpu_share, settings.link_mbps)
+        return [
+            Write(
+                INSTANCES_PREFIX + settings.name,
+                encode_instance(settings.peers),
+                lease,
+            ),
+            Write(
+                CAPACITIES_PREFIX + settings.name,
+                encode_capacity(capacity),
+                lease,
+            ),
+        ]
+
     async def _register_or_renew(self) -> None:
         if self.lease is not None:
             await self.store.renew_lease(self.lease)
             return
         lease = await self.store.open_lease(LEASE_TTL_S)
-        key = INSTANCES_PREFIX + self.settings.name
-        value = encode_instance(self.settings.peers)
-        await self.store.write(Write(key, value, lease))
+        await self.store.change(self._make_writes(lease), (), lease)
         self.lease = lease
         log_event("instance_registered", lease=lease.number, epoch=lease.epoch)
--- a/carawayvale/gateway/tests/fleet.py
+++ b/carawayvale/gateway/tests/fleet.py
@@ -49,7 +49,9 @@
     )
 
 
-def make_settings(name, domain, store, bounds=Bounds()) -> GatewaySettings:
+def make_settings(
+    name, domain, store, bounds=Bounds(), **limits
+) -> GatewaySettings:
     """Make the settings of one instance."""
     host = make_host()
     ports = {key: Address(host, port) for key, port in PORTS.items()}
@@ -63,6 +65,7 @@
         store=store,
         bounds=bounds,
         **ports,
+        **limits,
     )
 
 
@@ -103,6 +106,10 @@
         self.store.put(f"servers/{name}", entry)
         return endpoint
 
+    def find_limits(self, name):
+        """Return the limits of an instance, as fields of its settings."""
+        return {}
+
     def put_report(self, name, **status):
         """Write a new status report of an endpoint to the store."""
         entry = self.endpoints[name].entry
@@ -112,7 +119,13 @@
 
     async def add_instance(self, name, domain="zrh-a"):
         """Start an instance on its own loopback address."""
-        settings = make_settings(name, domain, self.store_address, self.bounds)
+        settings = make_settings(
+            name,
+            domain,
+            self.store_address,
+            self.bounds,
+            **self.find_limits(name),
+        )
         source = await self.make_source(settings)
         daemon = GatewayDaemon(settings, HEADER_NAMES, source, b"test")
         self.daemons.append(daemon)
--- a/carawayvale/gateway/watcher_election.py
+++ b/carawayvale/gateway/watcher_election.py
@@ -42,6 +42,7 @@
             own_record.region,
             ROLE_STORE_WATCHER,
             MAX_WATCHERS,
+            self.membership.weights.find,
         )
         if own_record.name not in elected:
             return MAX_WATCHERS
--- a/carawayvale/links/membership.py
+++ b/carawayvale/links/membership.py
@@ -8,6 +8,7 @@
 
 import xxhash
 
+from carawayvale.capacity.weights import InstanceWeights
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links.messages import MemberState
 from carawayvale.links.topology import MAX_MESH_INSTANCES
@@ -61,6 +62,7 @@
     :param joins_and_leaves: number of changes of the set of instances
         that are not dead.
     :param pauses: number of pauses of this process.
+    :param weights: parts of the demand that the instances take.
 
     >>> from carawayvale.contracts.address import Address
     >>> port = Address("127.0.0.1", 1)
@@ -85,6 +87,7 @@
     generation: int = 0
     joins_and_leaves: int = 0
     pauses: int = 0
+    weights: InstanceWeights = field(default_factory=InstanceWeights)
 
     def __post_init__(self):
         self.records[self.own_record.name] = self.own_record
@@ -366,6 +369,17 @@
         names = list(self.updates)[:limit]
         return tuple(self.updates.pop(name) for name in names)
 
+    def set_weights(self, weights: InstanceWeights) -> None:
+        """Set the parts of the demand that the instances take.
+
+        That is a change of the member list as well.
+
+        :param weights: the weights.
+        """
+        self.weights = weights
+        self.generation += 1
+        self._serving = None
+
     def list_serving(self) -> tuple[MemberRecord, ...]:
         """List the instances that may own shards.
 
--- a/carawayvale/links/topology.py
+++ b/carawayvale/links/topology.py
@@ -5,6 +5,8 @@
 from heapq import nsmallest
 from random import Random
 
+from carawayvale.capacity.weights import find_equal_weight
+from carawayvale.capacity.weights import FindWeight
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.hashing import hash_text
 from carawayvale.links.messages import MemberRecord
@@ -17,13 +19,20 @@
 ROLE_BRIDGE = "bridge"
 ROLE_WATCHER = "watcher"
 
+# Instances below this part of the greatest weight are elected last.
+MIN_ELECTED_WEIGHT = 0.5
+
 # Number of seeds that are dialled at once. Each sends its whole member
 # list, so a few are enough to learn of all others.
 REDIAL_FANOUT = 3
 
 
 def elect(
-    members: Iterable[MemberRecord], region: str, role: str, count: int
+    members: Iterable[MemberRecord],
+    region: str,
+    role: str,
+    count: int,
+    find_weight: FindWeight = find_equal_weight,
 ) -> tuple[str, ...]:
     """Elect the instances of a region for a role by rendezvous hashing.
 
@@ -31,10 +40,20 @@
     :param region: name of the region.
     :param role: name of the role.
     :param count: number of instances to elect.
-    :returns: names of the elected instances, in the order of their hashes.
+    :param find_weight: finds the weight of an instance by its name.
+    :returns: names of the elected instances, in the order of their hashes;
+        those of small weight come last.
     """
-    names = [m.name for m in members if m.region == region]
-    return tuple(nsmallest(count, names, lambda n: hash_text(f"{role}|{n}")))
+    weights = {
+        m.name: find_weight(m.name) for m in members if m.region == region
+    }
+    greatest = max(weights.values(), default=0.0)
+
+    def rank(name: str) -> tuple[bool, int]:
+        is_small = weights[name] < MIN_ELECTED_WEIGHT * greatest
+        return is_small, hash_text(f"{role}|{name}")
+
+    return tuple(nsmallest(count, weights, rank))
 
 
 def choose_neighbours(
--- a/carawayvale/platform/source.py
+++ b/carawayvale/platform/source.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from carawayvale.catalogue.replica import StoredItem
+from carawayvale.catalogue.source import CapacityUpdate
 from carawayvale.catalogue.source import CatalogueUpdate
 from carawayvale.catalogue.source import ConfigurationUpdate
 from carawayvale.catalogue.source import CrashUpdate
@@ -12,6 +13,8 @@
 from carawayvale.catalogue.source import InstanceUpdate
 from carawayvale.catalogue.source import Source
 from carawayvale.contracts.address import Address
+from carawayvale.platform.capacities import CAPACITIES_PREFIX
+from carawayvale.platform.capacities import decode_capacity
 from carawayvale.platform.configuration import CONFIGURATION_KEY
 from carawayvale.platform.configuration import decode_configuration
 from carawayvale.platform.configuration import EVACUATE_PREFIX
@@ -69,6 +72,12 @@
             return InstanceUpdate(name, None)
         return InstanceUpdate(name, parse_address(item.value.decode("ascii")))
 
+    def _decode_capacity(self, item: StoredItem) -> CatalogueUpdate:
+        name = item.key.removeprefix(CAPACITIES_PREFIX)
+        if item.value is None:
+            return CapacityUpdate(name, None)
+        return CapacityUpdate(name, decode_capacity(item))
+
 
 def encode_instance(peers: Address) -> bytes:
     """Encode the record with which an instance registers itself.
@@ -87,4 +96,5 @@
     SERVERS_PREFIX: PlatformSource._decode_endpoint,
     INSTANCES_PREFIX: PlatformSource._decode_instance,
     CRASHES_PREFIX: PlatformSource._decode_crash,
+    CAPACITIES_PREFIX: PlatformSource._decode_capacity,
 }
--- a/carawayvale/steering/placement.py
+++ b/carawayvale/steering/placement.py
@@ -9,13 +9,9 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 from functools import cached_property
-import math
 
 from carawayvale.catalogue.records import EndpointRecord
-from carawayvale.contracts.hashing import hash_text
-
-# Number of values of the 64-bit hash.
-HASH_RANGE = float(1 << 64)
+from carawayvale.contracts.hashing import score_text
 
 
 def score_endpoint(key: str, endpoint: EndpointRecord) -> float:
@@ -27,8 +23,7 @@
         An endpoint has the highest score for a share of the objects in
         proportion to its slots.
     """
-    point = (hash_text(f"{key}|{endpoint.name}") + 1) / (HASH_RANGE + 2)
-    return endpoint.slots / -math.log(point)
+    return score_text(f"{key}|{endpoint.name}", endpoint.slots)
 
 
 def order_endpoints(
--- a/carawayvale/steering/quota_owners.py
+++ b/carawayvale/steering/quota_owners.py
@@ -6,10 +6,13 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass
 import math
 
-from carawayvale.contracts.hashing import hash_text
+from carawayvale.capacity.weights import find_equal_weight
+from carawayvale.capacity.weights import FindWeight
+from carawayvale.contracts.hashing import score_text
 from carawayvale.steering.quota_buckets import Grant
 from carawayvale.steering.quota_buckets import QuotaBucket
 from carawayvale.steering.quota_buckets import QuotaLimit
@@ -34,17 +37,17 @@
     """First instance in the order of an organisation's quota.
 
     :param name: name of the instance.
-    :param score: hash of the instance and the organisation.
+    :param score: weighted hash of the instance and the organisation.
     :param since_s: time since which it has been the first one.
     """
 
     name: str
-    score: int
+    score: float
     since_s: float
 
 
-def _score(organisation: str, name: str) -> int:
-    return hash_text(f"quota|{organisation}|{name}")
+def _score(organisation: str, name: str, weight: float) -> float:
+    return score_text(f"quota|{organisation}|{name}", weight)
 
 
 class QuotaOwnership:
@@ -64,34 +67,46 @@
 
     def __init__(self, own_name: str, now_s: float):
         self.own_name = own_name
-        self.members: frozenset[str] = frozenset({own_name})
+        self.members: Mapping[str, float] = {own_name: 1.0}
         self.changed_s = now_s
         self.entries: dict[str, OwnerEntry] = {}
 
-    def set_members(self, names: Iterable[str], now_s: float) -> None:
+    def set_members(
+        self,
+        names: Iterable[str],
+        now_s: float,
+        find_weight: FindWeight = find_equal_weight,
+    ) -> None:
         """Set the serving instances.
 
+        An instance whose weight has changed counts as a new one.
+
         :param names: their names.
         :param now_s: the time.
+        :param find_weight: finds the weight of an instance by its name.
         """
-        members = frozenset(names) or frozenset({self.own_name})
+        members = {name: find_weight(name) for name in names}
+        members = members or {self.own_name: 1.0}
         if members == self.members:
             return
-        added = members - self.members
-        self.members = members
+        old, self.members = self.members, members
+        added = [name for name in members if members[name] != old.get(name)]
         self.changed_s = now_s
         for organisation, entry in self.entries.items():
-            if entry.name not in members:
+            if members.get(entry.name) != old.get(entry.name):
                 self.entries[organisation] = self._choose(organisation)
                 continue
             for name in added:
-                score = _score(organisation, name)
+                score = _score(organisation, name, members[name])
                 if (score, name) > (entry.score, entry.name):
                     entry = OwnerEntry(name, score, now_s)
                     self.entries[organisation] = entry
 
     def _choose(self, organisation: str) -> OwnerEntry:
-        score, name = max((_score(organisation, n), n) for n in self.members)
+        score, name = max(
+            (_score(organisation, name, weight), name)
+            for name, weight in self.members.items()
+        )
         return OwnerEntry(name, score, self.changed_s)
 
     def find(self, organisation: str) -> OwnerEntry:
@@ -122,7 +137,10 @@
         """
         return sorted(
             self.members,
-            key=lambda name: (_score(organisation, name), name),
+            key=lambda name: (
+                _score(organisation, name, self.members[name]),
+                name,
+            ),
             reverse=True,
         )
 
@@ -266,15 +284,21 @@
             return 0
         return bucket.take_back(number, tokens, now_s)
 
-    def set_members(self, names: Iterable[str], now_s: float) -> None:
+    def set_members(
+        self,
+        names: Iterable[str],
+        now_s: float,
+        find_weight: FindWeight = find_equal_weight,
+    ) -> None:
         """Set the serving instances, of which some own quotas.
 
         :param names: their names.
         :param now_s: the time.
+        :param find_weight: finds the weight of an instance by its name.
         """
         self.advance(now_s)
-        names = frozenset(names)
-        if names == self.ownership.members:
+        weights = {name: find_weight(name) for name in names}
+        if weights == self.ownership.members:
             return
         # A quota that was never asked for is handed over as well: its next
         # owner need not start with an empty bucket.
@@ -283,7 +307,7 @@
             limit = self.limits.get(organisation)
             if entry.name == own_name and limit is not None:
                 self.find_bucket(organisation, limit, now_s)
-        self.ownership.set_members(names, now_s)
+        self.ownership.set_members(weights, now_s, find_weight)
 
     def take_handovers(self, now_s: float) -> list[Handover]:
         """Give up the buckets of quotas that this instance has lost.
--- a/carawayvale/zones/owner_table.py
+++ b/carawayvale/zones/owner_table.py
@@ -12,14 +12,17 @@
 from dataclasses import field
 import math
 
-from carawayvale.contracts.hashing import hash_text
+from carawayvale.contracts.hashing import score_text
 from carawayvale.zones.shards import Candidate
 from carawayvale.zones.shards import Shard
 
-# An instance owns at most this multiple of the mean number of shards
-# per instance in its region, rounded up.
+# An instance owns at most this multiple of its part of the shards of its
+# region, rounded up.
 MAX_LOAD_FACTOR = 1.25
 
+# Least excess over a whole number that is rounded up.
+ROUNDING = 1e-9
+
 # Maximum number of successors that are listed for each shard.
 MAX_SUCCESSORS = 3
 
@@ -69,19 +72,19 @@
 EMPTY_OWNERSHIP = Ownership({}, {})
 
 
-def score_candidate(shard: Shard, candidate: Candidate) -> int:
-    """Compute the rendezvous hash of a shard and a candidate.
+def score_candidate(shard: Shard, candidate: Candidate) -> float:
+    """Compute the weighted rendezvous hash of a shard and a candidate.
 
     :param shard: the shard.
     :param candidate: the instance that may own the shard.
     :returns: the score; a candidate with a greater score is preferred.
     """
-    return hash_text(f"{shard.name}|{candidate.name}")
+    return score_text(f"{shard.name}|{candidate.name}", candidate.weight)
 
 
 def _rank_candidate(
     shard: Shard, candidate: Candidate
-) -> tuple[bool, int, str]:
+) -> tuple[bool, float, str]:
     """Make the sort key of a candidate; the least is preferred."""
     is_elsewhere = candidate.domain != shard.domain
     return is_elsewhere, -score_candidate(shard, candidate), candidate.name
@@ -174,12 +177,12 @@
         if not self.changed:
             return
         self.changed = False
-        max_load = _limit_load(len(self.shards), len(self.candidates))
+        max_loads = _limit_loads(len(self.shards), self.candidates.values())
         loads = dict.fromkeys(self.candidates, 0)
         self.owner_lists = {}
         for name in self.shards:
             preferred = self.preferences[name]
-            position = _find_owner(preferred, loads, max_load)
+            position = _find_owner(preferred, loads, max_loads)
             if position is None:
                 self.owner_lists[name] = ()
                 continue
@@ -263,21 +266,28 @@
     return table.assign()
 
 
-def _limit_load(shards: int, instances: int) -> int:
-    """Compute the maximum number of shards that an instance may own."""
-    if not instances:
-        return 0
-    return math.ceil(shards * MAX_LOAD_FACTOR / instances)
+def _limit_loads(
+    shards: int, candidates: Iterable[Candidate]
+) -> dict[str, int]:
+    """Compute the maximum number of shards that each instance may own."""
+    weights = {c.name: c.weight for c in candidates}
+    total = sum(weights.values())
+    return {
+        name: math.ceil(shards * MAX_LOAD_FACTOR * weight / total - ROUNDING)
+        for name, weight in weights.items()
+    }
 
 
 def _find_owner(
-    preferred: Sequence[Candidate], loads: Mapping[str, int], max_load: int
+    preferred: Sequence[Candidate],
+    loads: Mapping[str, int],
+    max_loads: Mapping[str, int],
 ) -> int | None:
-    """Find the position of the first instance with a load below the bound.
+    """Find the position of the first instance with a load below its bound.
 
     If there is no such instance, the most preferred one is chosen.
     """
     for position, candidate in enumerate(preferred):
-        if loads[candidate.name] < max_load:
+        if loads[candidate.name] < max_loads[candidate.name]:
             return position
     return 0 if preferred else None
--- a/carawayvale/zones/shards.py
+++ b/carawayvale/zones/shards.py
@@ -15,11 +15,13 @@
     :param name: name of the instance.
     :param region: region of the instance.
     :param domain: failure domain of the instance.
+    :param weight: part of the shards that it takes, relative to others.
     """
 
     name: str
     region: str
     domain: str
+    weight: float = 1.0
 
 
 @dataclass(frozen=True)
