Keep requests at their endpoints where all of a service fail alike

Where one took a request at last, it did not keep the object, ran three times as long and filled its slots: 1,300 refusals for full endpoints in two seconds, with a Retry-After of up to two seconds.

An entry remembers which endpoints of a service fail. Where half of them or more do, there is nothing to go around: a request goes to the endpoint that keeps its object, once more if that refuses it unrun (one endpoint, one retry of the budget), and a refusal says to come back at once. A few failing endpoints are left out as before.

--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -31,6 +31,7 @@
 from carawayvale.links.membership import Membership
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links.messages import MemberState
+from carawayvale.steering.common_failures import CommonFailures
 from carawayvale.steering.expected_waits import ExpectedWaits
 from carawayvale.steering.fair_shares import find_weights
 from carawayvale.steering.full_endpoints import FullEndpoints
@@ -89,6 +90,7 @@
         self.region_shares: dict[str, RegionShares] = {}
         self.full_endpoints = FullEndpoints()
         self.expected_waits = ExpectedWaits()
+        self.common_failures: dict[str, CommonFailures] = {}
         self.forwards = ForwardTable()
         self.stop: PlannedStop | None = None
         self.reachability = Reachability()
@@ -377,6 +379,14 @@
             self.region_shares[service] = shares
         return shares
 
+    def find_common_failures(self, service: str) -> CommonFailures:
+        """Find or create the reports about the failures of a service.
+
+        :param service: name of the service.
+        :returns: the reports.
+        """
+        return self.common_failures.setdefault(service, CommonFailures())
+
     def find_spill(self, service: str, late: bool) -> SpillPolicy:
         """Find or create the policy for tries after a full endpoint.
 
--- a/carawayvale/gateway/proxy_handler.py
+++ b/carawayvale/gateway/proxy_handler.py
@@ -385,7 +385,12 @@
 
     @staticmethod
     def _find_retry_after(context: RequestContext) -> float:
-        """Find when an endpoint will have room, within the bounds."""
+        """Find when an endpoint will have room, within the bounds.
+
+        An endpoint that refuses at random may take the next attempt.
+        """
+        if context.fails_everywhere and context.attempted:
+            return MIN_RETRY_AFTER_S
         retry_s = min(context.full.values(), default=MIN_RETRY_AFTER_S)
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, retry_s))
 
--- a/carawayvale/gateway/request_attempts.py
+++ b/carawayvale/gateway/request_attempts.py
@@ -73,6 +73,12 @@
         :param context: state of the request.
         :returns: the result for the caller, or None.
         """
+        failures = self.node.find_common_failures(context.service)
+        if failures.are_common(read_boot_clock()):
+            context.fails_everywhere = True
+            context.owner_request = replace(
+                context.owner_request, may_use_failing=True
+            )
         placement = self._place_object(context)
         for is_local, list_group in self._order_groups(context, placement):
             attempt = self._attempt_local if is_local else self._attempt_remote
@@ -324,9 +330,9 @@
                     )
                 continue
             if result.outcome is UpstreamOutcome.QUARANTINED:
-                context.quarantine_s = result.finish_s
-                context.stop_reason = StopReason.QUARANTINE
+                self._stop_for_quarantine(context, result)
                 return context.fallback
+            self._record_failing(context, name, result)
             if result.outcome is UpstreamOutcome.SKIPPED:
                 context.skipped.append(endpoint)
                 continue
@@ -336,8 +342,62 @@
                 return result
             if context.no_more_attempts:
                 return context.fallback
+            if not self._is_shed_by_chance(context, result):
+                continue
+            result = await self._attempt_again(
+                context, endpoint, owner_request
+            )
+            if result is not None or context.no_more_attempts:
+                return result or context.fallback
         return None
 
+    @staticmethod
+    def _stop_for_quarantine(
+        context: RequestContext, result: UpstreamResult
+    ) -> None:
+        context.quarantine_s = result.finish_s
+        context.stop_reason = StopReason.QUARANTINE
+
+    def _record_failing(
+        self, context: RequestContext, name: str, result: UpstreamResult
+    ) -> None:
+        """Record whether an endpoint fails many requests."""
+        skipped = result.outcome is UpstreamOutcome.SKIPPED
+        failures = self.node.find_common_failures(context.service)
+        failures.record(name, skipped or result.failing, read_boot_clock())
+
+    @staticmethod
+    def _is_shed_by_chance(
+        context: RequestContext, result: UpstreamResult
+    ) -> bool:
+        """Tell whether an endpoint may take the request the next time.
+
+        Where all endpoints refuse requests that they have room for, the one
+        that keeps the object is the best for another attempt.
+        """
+        not_run = result.outcome is UpstreamOutcome.NOT_RUN
+        return context.fails_everywhere and not_run
+
+    async def _attempt_again(
+        self,
+        context: RequestContext,
+        endpoint: EndpointRecord,
+        owner_request: OwnerRequest,
+    ) -> UpstreamResult | None:
+        """Attempt a request at the same endpoint once more.
+
+        :returns: the result for the caller, or None.
+        """
+        context.current = endpoint.name
+        result = await self._attempt_owners(context, endpoint, owner_request)
+        self._record_attempt(context, endpoint.name, result)
+        if result is None or result.outcome in REJECTING_OUTCOMES:
+            return None
+        if result.outcome is UpstreamOutcome.QUARANTINED:
+            self._stop_for_quarantine(context, result)
+            return None
+        return result if self._evaluate_result(context, result) else None
+
     def _record_attempt(
         self, context: RequestContext, name: str, result: UpstreamResult | None
     ) -> None:
--- a/carawayvale/gateway/request_context.py
+++ b/carawayvale/gateway/request_context.py
@@ -77,6 +77,7 @@
     :param local_margin_s: seconds before the objective by which the own
         region has to complete the request.
     :param rejected_locally: whether the own region rejected the request.
+    :param fails_everywhere: whether most endpoints of the service fail.
     """
 
     request: Request
@@ -101,6 +102,7 @@
     region_shares: RegionShares | None = None
     local_margin_s: float = 0.0
     rejected_locally: bool = False
+    fails_everywhere: bool = False
 
     @property
     def rank(self) -> int:
