Take no timeout of a jammed instance for a failure of others

The weights of instances make such jams rare, a burst still makes them.

Each instance knows when its event loop was late, its link had a queue or its link was full of received bytes (Lifeguard's local health). A timeout of a call during that time backs off from no owner, ejects no endpoint, ends no round of probes and changes no owner of a quota; heartbeats of others may be late by twice the time. A refused connection counts as before.

test_own_delay.py: with was_behind always False three of its tests fail; the ones with an instance that is not behind, or a refused connection, hold either way.

--- a/carawayvale/capacity/__init__.py
+++ b/carawayvale/capacity/__init__.py
@@ -3,6 +3,7 @@
 from carawayvale.capacity.link_meter import LinkMeter
 from carawayvale.capacity.link_meter import OWN_LINK
 from carawayvale.capacity.loop_lag import LoopLag
+from carawayvale.capacity.own_delay import OwnDelay
 from carawayvale.capacity.weights import Capacity
 from carawayvale.capacity.weights import InstanceWeights
 
@@ -12,4 +13,5 @@
     "LinkMeter",
     "LoopLag",
     "OWN_LINK",
+    "OwnDelay",
 ]
--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -5,7 +5,6 @@
 
 import curio
 
-from carawayvale.capacity.link_meter import OWN_LINK
 from carawayvale.capacity.weights import Capacity
 from carawayvale.capacity.weights import InstanceWeights
 from carawayvale.catalogue.header_names import HeaderNames
@@ -44,6 +43,7 @@
 from carawayvale.links.listener import Listener
 from carawayvale.links.listener import MAX_CONNECTIONS
 from carawayvale.links.listener import open_listener
+from carawayvale.links.membership import HEARTBEAT_TIMEOUT_S
 from carawayvale.links.membership import Membership
 from carawayvale.links.messages import MemberRecord
 from carawayvale.links.messages import MemberState
@@ -140,7 +140,7 @@
         self.crash_store = CrashStore(self.store, self.node.crash_reports)
         self.reachability_monitor = ReachabilityMonitor(self.node, self.peers)
         self.load_monitor = LoadMonitor(
-            self.node.observer, OWN_LINK, self.node.loop_lag
+            self.node.observer, self.node.own_delay
         )
         proxy_handler = ProxyHandler(self.node)
         memory = self.node.memory
@@ -333,6 +333,7 @@
         """Regularly update derived state and start the checks that are due."""
         while True:
             await curio.sleep(TICK_INTERVAL_S)
+            self._allow_for_own_delay()
             self.node.refresh()
             await self.node.quotas.reconcile()
             if self.node.released:
@@ -345,6 +346,14 @@
                     owned.checked_s = now_s
                     await curio.spawn(owned.check, daemon=True)
 
+    def _allow_for_own_delay(self) -> None:
+        """Give others more time while this instance itself is behind."""
+        since_s = read_boot_clock() - HEARTBEAT_TIMEOUT_S
+        behind = self.node.own_delay.was_behind(since_s)
+        self.node.membership.allowance_s = (
+            HEARTBEAT_TIMEOUT_S if behind else 0.0
+        )
+
     async def _stop_when_requested(self) -> None:
         """Complete a planned stop after it is requested.
 
--- a/carawayvale/gateway/endpoint_checks.py
+++ b/carawayvale/gateway/endpoint_checks.py
@@ -30,14 +30,18 @@
 
     :param owned: the endpoint.
     """
+    started_s = read_boot_clock()
     try:
         client = await owned.upstream.pool.open(CHECK_TIMEOUT_S)
     except ConnectionBroken as error:
+        refused = isinstance(error, ConnectRefused)
+        if not refused and owned.context.own_delay.was_behind(started_s):
+            return
         owned.health.eject(read_boot_clock())
         owned.record_ejection(f"no connection: {error}")
         await owned.upstream.pool.close()
         await owned.notify_waiters()
-        if not isinstance(error, ConnectRefused):
+        if not refused:
             owned.abort_in_flight()
         return
     await client.close()
--- a/carawayvale/gateway/endpoint_context.py
+++ b/carawayvale/gateway/endpoint_context.py
@@ -2,7 +2,11 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import field
 
+from carawayvale.capacity.link_meter import OWN_LINK
+from carawayvale.capacity.loop_lag import LoopLag
+from carawayvale.capacity.own_delay import OwnDelay
 from carawayvale.catalogue.header_names import HeaderNames
 from carawayvale.gateway.crash_reports import CrashReports
 from carawayvale.gateway.endpoint_notices import EndpointNotices
@@ -23,6 +27,7 @@
         a repeat, and returns whether there was one.
     :param owns: tells whether the instance owns the named endpoint.
     :param record_connect: records attempts to open a connection.
+    :param own_delay: tells whether the instance was behind.
     """
 
     header_names: HeaderNames
@@ -32,3 +37,6 @@
     may_repeat: Callable[[str], bool]
     owns: Callable[[str], bool]
     record_connect: RecordConnect = ignore_connect
+    own_delay: OwnDelay = field(
+        default_factory=lambda: OwnDelay(OWN_LINK, LoopLag())
+    )
--- a/carawayvale/gateway/endpoint_exchange.py
+++ b/carawayvale/gateway/endpoint_exchange.py
@@ -92,13 +92,21 @@
             return UpstreamResult(UpstreamOutcome.QUARANTINED, wait_s)
         result = await self._report_end(await self._send())
         self._record_notice(result)
-        if self.is_current and not result.no_memory:
+        if self.is_current and self._is_evidence(result):
             self._record_signal(result)
         self.record_run(result)
         if not self.owned.is_usable:
             await self.owned.notify_waiters()
         return result
 
+    def _is_evidence(self, result: UpstreamResult) -> bool:
+        """Tell whether a result says something about the endpoint."""
+        if result.no_memory:
+            return False
+        started_s = self.queued.started_s
+        behind = self.context.own_delay.was_behind(started_s)
+        return not (result.timed_out and behind)
+
     async def _send(self) -> UpstreamResult:
         owned = self.owned
         now_s = read_boot_clock()
--- a/carawayvale/gateway/forwarding.py
+++ b/carawayvale/gateway/forwarding.py
@@ -33,6 +33,7 @@
 from carawayvale.links.connections import OutgoingCall
 from carawayvale.links.http import ConnectFailed
 from carawayvale.links.http import ConnectionBroken
+from carawayvale.links.http import ConnectRefused
 from carawayvale.links.http import find_header
 from carawayvale.links.http import InvalidResponse
 from carawayvale.links.http_client import HttpClient
@@ -57,6 +58,10 @@
     """
 
 
+class OwnerRefused(OwnerUnreachable):
+    """Error for an owner whose machine refused the connection."""
+
+
 async def forward_request(
     pool: ConnectionPool,
     owner_request: OwnerRequest,
@@ -84,6 +89,8 @@
             min(CONNECT_TIMEOUT_S, max(0.001, remaining_s)),
             not owner_request.idempotent,
         )
+    except ConnectRefused as error:
+        raise OwnerRefused(str(error)) from None
     except ConnectFailed as error:
         raise OwnerUnreachable(str(error)) from None
     complete = False
--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -4,7 +4,9 @@
 from dataclasses import replace
 from random import Random
 
+from carawayvale.capacity.link_meter import OWN_LINK
 from carawayvale.capacity.loop_lag import LoopLag
+from carawayvale.capacity.own_delay import OwnDelay
 from carawayvale.catalogue.builder import CatalogueBuilder
 from carawayvale.catalogue.header_names import HeaderNames
 from carawayvale.catalogue.records import Catalogue
@@ -27,6 +29,7 @@
 from carawayvale.gateway.process_memory import ProcessMemory
 from carawayvale.gateway.quota_calls import QuotaCalls
 from carawayvale.gateway.settings import GatewaySettings
+from carawayvale.gateway.upstream import CONNECT_TIMEOUT_S
 from carawayvale.links.connections import ConnectionPools
 from carawayvale.links.membership import Membership
 from carawayvale.links.messages import MemberRecord
@@ -98,7 +101,7 @@
         self.configuration_age = ConfigurationAge(lambda: self.settings.bounds)
         self.members_changed_s = self.configured_s
         self.observer = RequestObserver()
-        self.loop_lag = LoopLag()
+        self.own_delay = OwnDelay(OWN_LINK, LoopLag())
         self.random = Random(membership.own_record.incarnation)
         self.notices = EndpointNotices(
             header_names, self.observer, self._group_usable_endpoints
@@ -110,6 +113,7 @@
             self.peer_pools,
             self.find_internal_address,
             self.observer,
+            self.own_delay,
         )
         self.endpoint_context = EndpointContext(
             header_names,
@@ -118,7 +122,8 @@
             self.crash_reports,
             self._may_repeat,
             self.owners.is_owner,
-            self.reachability.record_connect,
+            self._record_connect,
+            self.own_delay,
         )
 
     @property
@@ -309,6 +314,12 @@
         log_event("endpoint_owned", endpoint=name, service=service.name)
         return owned
 
+    def _record_connect(self, name: str, reached: bool, now_s: float) -> None:
+        """Record a connection attempt, unless its timeout proves nothing."""
+        started_s = now_s - CONNECT_TIMEOUT_S
+        if reached or not self.own_delay.was_behind(started_s):
+            self.reachability.record_connect(name, reached, now_s)
+
     def _may_repeat(self, service: str) -> bool:
         """Spend one retry of the budget for a repeat, if one is left."""
         return self.find_retry_budget(service).spend(
--- a/carawayvale/gateway/load_monitor.py
+++ b/carawayvale/gateway/load_monitor.py
@@ -4,8 +4,7 @@
 
 import curio
 
-from carawayvale.capacity.link_meter import LinkMeter
-from carawayvale.capacity.loop_lag import LoopLag
+from carawayvale.capacity.own_delay import OwnDelay
 from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.gateway.observer import format_ms
 from carawayvale.gateway.observer import RequestObserver
@@ -30,16 +29,14 @@
     """Task that measures the event loop and the link of the process.
 
     :param observer: recorder of metrics.
-    :param link: link of the process.
-    :param loop_lag: delays of the event loop.
+    :param own_delay: link and event loop of the process.
     """
 
-    def __init__(
-        self, observer: RequestObserver, link: LinkMeter, loop_lag: LoopLag
-    ):
+    def __init__(self, observer: RequestObserver, own_delay: OwnDelay):
         self.observer = observer
-        self.link = link
-        self.loop_lag = loop_lag
+        self.own_delay = own_delay
+        self.link = own_delay.link
+        self.loop_lag = own_delay.loop_lag
         self.worst_queue_s = 0.0
         self.worst_receive_share = 0.0
         self._logged_s = read_boot_clock()
@@ -62,6 +59,7 @@
         :param now_s: the time.
         """
         self.loop_lag.record(delay_s, now_s)
+        self.own_delay.observe(now_s)
         queue_s = self.link.find_queue(now_s)
         self.worst_queue_s = max(self.worst_queue_s, queue_s)
         share = self.link.find_receive_share(now_s)
--- a/carawayvale/gateway/quota_calls.py
+++ b/carawayvale/gateway/quota_calls.py
@@ -13,6 +13,7 @@
 
 import curio
 
+from carawayvale.capacity.own_delay import OwnDelay
 from carawayvale.catalogue.records import OrganisationRecord
 from carawayvale.contracts.address import Address
 from carawayvale.contracts.clock import read_boot_clock
@@ -99,6 +100,7 @@
     :param pools: connections to other instances.
     :param find_address: finds the internal address of an instance.
     :param observer: records metrics.
+    :param own_delay: tells whether this instance was behind.
     """
 
     def __init__(
@@ -108,11 +110,13 @@
         pools: ConnectionPools,
         find_address: FindAddress,
         observer: RequestObserver,
+        own_delay: OwnDelay,
     ):
         self.membership = membership
         self.pools = pools
         self.find_address = find_address
         self.observer = observer
+        self.own_delay = own_delay
         self.rules = QuotaRules(
             bounds.quota_window_s, bounds.quota_excess, bounds.quota_slack
         )
@@ -328,19 +332,23 @@
         call = OutgoingCall("POST", "/", headers, body)
         kind = value.decode().partition(SEPARATOR)[0]
         self.observer.count_quota_call(kind)
+        sent_s = read_boot_clock()
         try:
             response = await self.pools.find(address).exchange(
                 call, timeout_s, MAX_RESPONSE_BYTES
             )
         except (ConnectionBroken, curio.TaskTimeout) as error:
-            now_s = read_boot_clock()
-            self.backoff_until_s[owner] = now_s + UNREACHABLE_BACKOFF_S
+            own_delay = self.own_delay.was_behind(sent_s)
+            if not own_delay:
+                until_s = read_boot_clock() + UNREACHABLE_BACKOFF_S
+                self.backoff_until_s[owner] = until_s
             self.observer.count_quota_call(f"{kind}_failed")
             log_event(
                 "quota_call_failed",
                 "WARNING",
                 owner=owner,
                 kind=kind,
+                own_delay=own_delay,
                 cause=repr(error),
             )
             return None
--- a/carawayvale/gateway/reachability_monitor.py
+++ b/carawayvale/gateway/reachability_monitor.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import curio
 
@@ -87,6 +88,8 @@
             self.node.settings.domain,
         )
         probe_round = await probe_all(endpoints)
+        if self.node.own_delay.was_behind(probe_round.started_s):
+            probe_round = replace(probe_round, was_behind=True)
         if self.node.leaving:
             return
         since_s = reachability.partitioned_s
--- a/carawayvale/gateway/request_attempts.py
+++ b/carawayvale/gateway/request_attempts.py
@@ -5,6 +5,7 @@
 
 from carawayvale.catalogue.records import EndpointRecord
 from carawayvale.contracts.clock import read_boot_clock
+from carawayvale.gateway.forwarding import OwnerRefused
 from carawayvale.gateway.forwarding import OwnerUnreachable
 from carawayvale.gateway.forwarding import serve_at_owner
 from carawayvale.gateway.gateway_node import GatewayNode
@@ -420,6 +421,7 @@
             endpoint, context.allowed_regions
         )
         for owner in owners[:MAX_OWNERS]:
+            started_s = read_boot_clock()
             try:
                 result = await serve_at_owner(
                     self.node, owner, owner_request, endpoint
@@ -429,12 +431,18 @@
                     context.lost_owners.append(LostOwner(owner, state))
                 return result
             except OwnerUnreachable as error:
-                self.node.owners.back_off(owner)
+                refused = isinstance(error, OwnerRefused)
+                own_delay = not refused and self.node.own_delay.was_behind(
+                    started_s
+                )
+                if not own_delay:
+                    self.node.owners.back_off(owner)
                 log_event(
                     "owner_unreachable",
                     "WARNING",
                     owner=owner,
                     endpoint=endpoint.name,
+                    own_delay=own_delay,
                     cause=str(error),
                 )
         return None
--- a/carawayvale/gateway/upstream.py
+++ b/carawayvale/gateway/upstream.py
@@ -19,6 +19,7 @@
 from carawayvale.gateway.response_memory import NoMemory
 from carawayvale.links.http import ConnectFailed
 from carawayvale.links.http import ConnectionBroken
+from carawayvale.links.http import ConnectRefused
 from carawayvale.links.http import Headers
 from carawayvale.links.http import ResponseHead
 from carawayvale.links.http_client import HttpClient
@@ -88,6 +89,7 @@
     :param disconnected: whether the connection to the endpoint broke.
     :param expected_wait: what the owner expects of the endpoint; None if the
         endpoint reports no pace.
+    :param timed_out: whether a timeout of this instance ended the attempt.
     :param no_memory: whether this instance had no memory for the response,
         which says nothing about the endpoint.
     """
@@ -103,6 +105,7 @@
     disconnected: bool = False
     expected_wait: ExpectedWait | None = None
     no_memory: bool = False
+    timed_out: bool = False
 
     @property
     def is_success(self) -> bool:
@@ -148,7 +151,11 @@
                 min(CONNECT_TIMEOUT_S, remaining_s), not idempotent
             )
         except ConnectFailed as error:
-            return UpstreamResult(UpstreamOutcome.UNSENT, cause=str(error))
+            return UpstreamResult(
+                UpstreamOutcome.UNSENT,
+                cause=str(error),
+                timed_out=not isinstance(error, ConnectRefused),
+            )
         reusable = False
         hold = AttemptMemory(request.response_memory)
         if idempotent:
@@ -164,7 +171,7 @@
             )
         except curio.TaskTimeout:
             result = UpstreamResult(
-                UpstreamOutcome.LATE, cause="no answer in time"
+                UpstreamOutcome.LATE, cause="no answer in time", timed_out=True
             )
         except NoMemory as error:
             result = UpstreamResult(
--- a/carawayvale/links/membership.py
+++ b/carawayvale/links/membership.py
@@ -63,6 +63,8 @@
         that are not dead.
     :param pauses: number of pauses of this process.
     :param weights: parts of the demand that the instances take.
+    :param allowance_s: additional time without heartbeats before others are
+        suspected, while this instance itself is behind.
 
     >>> from carawayvale.contracts.address import Address
     >>> port = Address("127.0.0.1", 1)
@@ -88,6 +90,7 @@
     joins_and_leaves: int = 0
     pauses: int = 0
     weights: InstanceWeights = field(default_factory=InstanceWeights)
+    allowance_s: float = 0.0
 
     def __post_init__(self):
         self.records[self.own_record.name] = self.own_record
@@ -242,17 +245,15 @@
         if gap_s > PAUSE_THRESHOLD_S:
             self._restart_timeouts(now_s)
             return ()
+        timeout_s = HEARTBEAT_TIMEOUT_S + self.allowance_s
         unreachable = [
             name
             for name, heard_at_s in self.last_heard_s.items()
-            if now_s - heard_at_s >= HEARTBEAT_TIMEOUT_S
+            if now_s - heard_at_s >= timeout_s
             and self._can_suspect(name, now_s)
         ]
         for name in unreachable:
-            if (
-                now_s - self.last_heard_s[name]
-                >= HEARTBEAT_TIMEOUT_S + PROBE_TIMEOUT_S
-            ):
+            if now_s - self.last_heard_s[name] >= timeout_s + PROBE_TIMEOUT_S:
                 self.suspect(name, now_s)
         for name, since in list(self.suspected_s.items()):
             if now_s - since >= SUSPICION_TIMEOUT_S:
--- a/carawayvale/steering/reachability.py
+++ b/carawayvale/steering/reachability.py
@@ -60,18 +60,22 @@
     :param reached: number of endpoints that accepted a connection.
     :param started_s: start of the round.
     :param finished_s: end of the round.
+    :param was_behind: whether this instance was behind during the round.
     """
 
     probed: tuple[str, ...]
     reached: int
     started_s: float
     finished_s: float
+    was_behind: bool = False
 
     @property
     def is_valid(self) -> bool:
         """Whether the result says something about the network."""
         if self.reached:
             return True
+        if self.was_behind:
+            return False
         limit_s = PROBE_TIMEOUT_S + MAX_ROUND_DELAY_S
         took_s = self.finished_s - self.started_s
         return bool(self.probed) and took_s <= limit_s
