Refuse bodies at the ports for look-ups, readiness and metrics

Requests there have no bodies: they are limited to 1 KiB of body and 8 KiB of head, so that nothing large is held whatever the number of clients. The class of fault is a port whose limits were not set where all others were.

--- a/carawayvale/gateway/daemon.py
+++ b/carawayvale/gateway/daemon.py
@@ -8,6 +8,7 @@
 from carawayvale.capacity.weights import Capacity
 from carawayvale.capacity.weights import InstanceWeights
 from carawayvale.catalogue.header_names import HeaderNames
+from carawayvale.catalogue.records import RequestLimits
 from carawayvale.catalogue.replica import StoredItem
 from carawayvale.catalogue.source import Source
 from carawayvale.contracts.address import Address
@@ -76,6 +77,9 @@
 CALLER_FILES_SHARE = 0.6
 OWNER_FILES_SHARE = 0.2
 
+# Limits of look-ups, readiness checks and requests for metrics.
+PAGE_LIMITS = RequestLimits(header_bytes=1 << 13, body_bytes=1 << 10)
+
 # Callers may keep a look-up for up to three times its time to live.
 LOOKUP_EXPIRY_S = 3.2
 
@@ -262,7 +266,9 @@
     def _make_listener(
         self, address: Address, handle: HandleRequest
     ) -> Listener:
-        return Listener(open_listener(address), RequestServer(handle).serve)
+        """Make the listener of a port whose requests have no bodies."""
+        server = RequestServer(handle, PAGE_LIMITS)
+        return Listener(open_listener(address), server.serve)
 
     async def stop(self) -> None:
         """Request a planned stop."""
