Apply the limits of a new configuration to kept connections

It follows those of its port now, from the next request on; a request that has begun keeps the ones under which it began. Timeouts were read from the port before already.

Looked for elsewhere: the internal port's connections are the same class and follow too; the memory of bodies is of the port; links and pools hold no limits of a configuration.

test_server.py, TestLimitsOfANewConfiguration: both tests failed before.

--- a/carawayvale/gateway/request_parser.py
+++ b/carawayvale/gateway/request_parser.py
@@ -78,6 +78,18 @@
         limit = self.limits.header_bytes
         return h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
 
+    def set_limits(self, limits: RequestLimits) -> None:
+        """Apply changed limits from the next request on.
+
+        :param limits: size limits for callers.
+        """
+        if self.head is not None:
+            return
+        old, self.limits = self.limits, limits
+        is_new = limits.header_bytes != old.header_bytes
+        if is_new and self.is_idle and self.unanswered is None:
+            self.http = self._make_connection()
+
     @property
     def is_idle(self) -> bool:
         """Whether no part of a request has arrived."""
--- a/carawayvale/gateway/server_connection.py
+++ b/carawayvale/gateway/server_connection.py
@@ -189,6 +189,7 @@
                 data = await self._receive()
                 if not data:
                     break
+                self.parser.set_limits(self.server.limits)
                 self.parser.receive(data)
                 await turns.count_steps(STEPS_PER_READ)
         except InvalidRequest as invalid:
--- a/carawayvale/gateway/tests/test_server.py
+++ b/carawayvale/gateway/tests/test_server.py
@@ -129,6 +129,33 @@
     return [part[:2] for part in data.split(b"\r\n\r\n")[1:]]
 
 
+class TestLimitsOfANewConfiguration:
+    """A connection that is kept gets the limits of each new configuration."""
+
+    NEW = RequestLimits(header_bytes=2000, body_bytes=50)
+    HEAD = b"POST /%d HTTP/1.1\r\nhost: a\r\ncontent-length: 20\r\n"
+
+    def send_after_change(self, request):
+        async def scenario(gated, client):
+            for target in ("/1", "/2"):
+                await gated.release(target)
+            await client.sendall(POST % 1)
+            assert await read_bodies(client, 1) == [b"/1"]
+            gated.server.limits = self.NEW
+            await client.sendall(request)
+            assert await read_bodies(client, 1) == [b"/2"]
+
+        old = RequestLimits(header_bytes=200, body_bytes=8)
+        run_scenario(scenario, old)
+
+    def test_larger_body_is_taken(self):
+        self.send_after_change(self.HEAD % 2 + b"\r\n" + b"x" * 20)
+
+    def test_larger_head_is_taken(self):
+        field = b"x: " + b"y" * 500 + b"\r\n"
+        self.send_after_change(self.HEAD % 2 + field + b"\r\n" + b"x" * 20)
+
+
 class TestPipelining:
     def test_responses_keep_the_order_of_requests(self):
         async def scenario(gated, client):
