Notice that a client leaves while its pipeline is full

A connection with a full pipeline reads on for up to 16 KiB, which it parses when there is room. A client that has sent more than that behind 16 requests is still not noticed; the bound is the memory of what it may leave behind.

test_server.py, TestClientThatLeavesWithAFullPipeline: with 16, 20 and 40 requests none was cancelled before; with 15 all were.

--- a/carawayvale/gateway/request_parser.py
+++ b/carawayvale/gateway/request_parser.py
@@ -90,6 +90,11 @@
         if is_new and self.is_idle and self.unanswered is None:
             self.http = self._make_connection()
 
+    @property
+    def unparsed_bytes(self) -> int:
+        """Number of bytes that have arrived and are not parsed yet."""
+        return len(self.http.trailing_data[0])
+
     @property
     def is_idle(self) -> bool:
         """Whether no part of a request has arrived."""
--- a/carawayvale/gateway/server_connection.py
+++ b/carawayvale/gateway/server_connection.py
@@ -52,6 +52,10 @@
 # Interval at which a connection with a full pipeline checks for room.
 PIPELINE_POLL_S = 0.005
 
+# So much is read behind the requests of a full pipeline, to notice when
+# their client leaves.
+MAX_AHEAD_BYTES = 1 << 14
+
 # Idle connections are kept this much longer than callers are promised.
 IDLE_MARGIN_S = 1.0
 
@@ -182,11 +186,11 @@
         try:
             while not self.input_ended:
                 await self._start_requests()
-                if self._is_full():
-                    self.parser.restart_timeout()
-                    await curio.sleep(PIPELINE_POLL_S)
+                is_full = self._is_full()
+                receive = self._read_ahead if is_full else self._receive
+                data = await receive()
+                if data is None:
                     continue
-                data = await self._receive()
                 if not data:
                     break
                 self.parser.set_limits(self.server.limits)
@@ -214,6 +218,19 @@
         self.input_ended = True
         await self.changed.set()
 
+    async def _read_ahead(self) -> bytes | None:
+        """Read what follows the requests of a full pipeline for a moment.
+
+        :returns: what was read; None without anything.
+        """
+        self.parser.restart_timeout()
+        if self.parser.unparsed_bytes >= MAX_AHEAD_BYTES:
+            await curio.sleep(PIPELINE_POLL_S)
+            return None
+        return await curio.ignore_after(
+            PIPELINE_POLL_S, self.sock.recv, MAX_AHEAD_BYTES
+        )
+
     async def _receive(self) -> bytes:
         """Read from the socket, as long as it takes during a request."""
         while True:
--- a/carawayvale/gateway/tests/test_server.py
+++ b/carawayvale/gateway/tests/test_server.py
@@ -156,6 +156,32 @@
         self.send_after_change(self.HEAD % 2 + field + b"\r\n" + b"x" * 20)
 
 
+class TestClientThatLeavesWithAFullPipeline:
+    @pytest.mark.parametrize("number", [15, 16, 20, 40])
+    def test_its_requests_are_cancelled(self, number):
+        async def scenario(gated, client):
+            await client.sendall(b"".join(GET % n for n in range(number)))
+            running = min(number, 16)
+            await wait_until(lambda: len(gated.started) == running)
+            await client.close()
+            async with curio.timeout_after(0.5):
+                while len(gated.cancelled) < running:
+                    await curio.sleep(0.01)
+            assert not gated.server.open_requests
+
+        run_scenario(scenario)
+
+    def test_requests_behind_a_full_pipeline_are_answered(self):
+        async def scenario(gated, client):
+            await client.sendall(b"".join(GET % n for n in range(40)))
+            for number in range(40):
+                await gated.release(f"/{number}")
+            bodies = await read_bodies(client, 40)
+            assert len(bodies) == 40
+
+        run_scenario(scenario)
+
+
 class TestPipelining:
     def test_responses_keep_the_order_of_requests(self):
         async def scenario(gated, client):
