Send large messages in pieces that leave the link to smaller ones

A body of 540 kB takes a link of 5 Mbit/s for 0.86 s; heartbeats, calls about quotas, connections and short answers of the same instance waited behind it for as long, beyond the timeouts of the other side.

A message of more than 16 KiB, or of what the link takes in 20 ms, is written in pieces, each when the derived queue of the own link is below 50 ms. That is in the one class of all sockets, so bodies to callers, owners and endpoints and large messages on links are alike; nothing is paced where the bandwidth is not known.

--- a/carawayvale/capacity/link_meter.py
+++ b/carawayvale/capacity/link_meter.py
@@ -10,6 +10,16 @@
 BITS_PER_BYTE = 8
 BITS_PER_MEGABIT = 1_000_000
 
+# Longest queue of the own link at which a large message goes on. Small ones,
+# such as heartbeats, quota calls and short responses, wait no longer than
+# that and one piece.
+MAX_QUEUE_S = 0.05
+
+# A large message is sent in pieces that take the link this long, at least of
+# the second size.
+PIECE_S = 0.02
+MIN_PIECE_BYTES = 1 << 14
+
 # Time over which the rate of received bytes is averaged.
 RECEIVE_WINDOW_S = 0.25
 
@@ -43,6 +53,19 @@
         bits_per_s = bandwidth_mbps * BITS_PER_MEGABIT
         self.bytes_per_s = bits_per_s / BITS_PER_BYTE
 
+    @property
+    def piece_bytes(self) -> float:
+        """Size of the pieces of a large message; infinity for no limit."""
+        return max(MIN_PIECE_BYTES, self.bytes_per_s * PIECE_S)
+
+    def find_pause(self, now_s: float) -> float:
+        """Find how long a large message has to wait for smaller ones.
+
+        :param now_s: the time.
+        :returns: seconds; 0 if its next piece may be sent.
+        """
+        return max(0.0, self.find_queue(now_s) - MAX_QUEUE_S)
+
     def record_sent(self, size: int, now_s: float) -> None:
         """Record bytes that were given to the link.
 
--- a/carawayvale/links/sockets.py
+++ b/carawayvale/links/sockets.py
@@ -97,18 +97,30 @@
                 self.link.record_received(len(data), read_boot_clock())
                 return data
 
+    async def _wait_for_link(self) -> None:
+        """Wait until the queue of the link is short."""
+        while pause_s := self.link.find_pause(read_boot_clock()):
+            await curio.sleep(pause_s)
+
     async def sendall(self, data: bytes, flags: int = 0) -> None:
         """Send bytes.
 
+        Of a large message, one piece after the other is sent as the link
+        takes them, so that those of other sockets pass in between.
+
         :param data: the bytes, of which all are sent.
         :param flags: see :meth:`socket.socket.send`.
         :raises OSError: if the connection fails or is closed.
         """
         with memoryview(data).cast("B") as view:
-            sent = 0
+            sent, piece = 0, int(min(len(view), self.link.piece_bytes))
             while sent < len(view):
+                if piece < len(view):
+                    await self._wait_for_link()
                 try:
-                    size = self._get_open().send(view[sent:], flags)
+                    size = self._get_open().send(
+                        view[sent : sent + piece], flags
+                    )
                 except WantWrite:
                     await self._wait(WRITE)
                 except WantRead:
--- a/carawayvale/links/tests/test_sockets.py
+++ b/carawayvale/links/tests/test_sockets.py
@@ -6,7 +6,9 @@
 import curio
 import pytest
 
+from carawayvale.capacity.link_meter import LinkMeter
 from carawayvale.contracts.address import Address
+from carawayvale.contracts.clock import read_boot_clock
 from carawayvale.links.listener import open_listener
 from carawayvale.links.sockets import open_socket
 from carawayvale.links.sockets import open_socket_pair
@@ -234,3 +236,81 @@
                 await sock.close()
 
         curio.run(run)
+
+
+class TestLargeMessagesOnASmallLink:
+    """A link of 1 MB/s that several sockets of a process share."""
+
+    LARGE_BYTES = 300_000
+    SMALL_BYTES = 500
+
+    def make_pairs(self, count, link):
+        pairs = [open_socket_pair() for _ in range(count)]
+        for sender, _ in pairs:
+            sender.link = link
+        return pairs
+
+    def play(self, large):
+        """Send large messages and, meanwhile, small ones on another socket.
+
+        Return how long the link kept the small ones, and the whole time.
+        """
+        link, queues_s = LinkMeter(8.0), []
+
+        async def drain(sock, size):
+            while size > 0:
+                size -= len(await sock.recv(65536))
+
+        async def send_small(sock):
+            while True:
+                await sock.sendall(b"x" * self.SMALL_BYTES)
+                queues_s.append(link.find_queue(read_boot_clock()))
+                await curio.sleep(0.01)
+
+        async def main():
+            *pairs, (small, sink) = self.make_pairs(large + 1, link)
+            started_s = read_boot_clock()
+            async with curio.TaskGroup() as group:
+                for sender, receiver in pairs:
+                    await group.spawn(drain, receiver, self.LARGE_BYTES)
+                    await group.spawn(sender.sendall, b"x" * self.LARGE_BYTES)
+                other = await curio.spawn(send_small, small, daemon=True)
+            took_s = read_boot_clock() - started_s
+            await other.cancel()
+            for pair in (*pairs, (small, sink)):
+                for sock in pair:
+                    await sock.close()
+            return max(queues_s), took_s
+
+        return curio.run(main)
+
+    def test_small_message_waits_for_one_piece_of_each_at_most(self):
+        queue_s, took_s = self.play(large=3)
+        # 0.9 s of large messages; pieces of 20 ms go on at 50 ms.
+        assert queue_s <= 0.05 + 3 * 0.021 + 0.01
+        assert took_s < 1.5
+
+    def test_closing_ends_a_message_that_waits_for_the_link(self):
+        link = LinkMeter(8.0)
+
+        async def main():
+            ((sender, receiver),) = self.make_pairs(1, link)
+            link.record_sent(10_000_000, read_boot_clock())
+            task = await curio.spawn(sender.sendall, b"x" * self.LARGE_BYTES)
+            await turn(TURNS)
+            await task.cancel()
+            await sender.close()
+            await receiver.close()
+            return task.cancelled
+
+        assert curio.run(main)
+
+    def test_unknown_bandwidth_sends_at_once(self):
+        async def main():
+            ((sender, receiver),) = self.make_pairs(1, LinkMeter())
+            await sender.sendall(b"x" * 100_000)
+            await sender.close()
+            await receiver.close()
+            return sender.link.sent_bytes
+
+        assert curio.run(main) == 100_000
