Send a request that runs at most once to each endpoint only once

Since a request that was refused by an endpoint of a service that fails everywhere was sent to the same endpoint again, with the same id. An endpoint may repeat a response late on its connection; a late copy of the refusal then passed for the response to the second attempt, which ran.

Only requests that may run more than once are sent again to the same endpoint; others go to another one, on another connection, as before. The second attempt of a safe request may still meet a copy; it then counts as refused, which is allowed for it.

The test fleet had no more loopback addresses after 500 instances in one process, which failed four tests at the end of a run with GetAddrInfo errors; it has 2,500 now.

--- a/carawayvale/gateway/request_attempts.py
+++ b/carawayvale/gateway/request_attempts.py
@@ -365,10 +365,13 @@
         """Tell whether an endpoint may take the request the next time.
 
         Where all endpoints refuse requests that they have room for, the one
-        that keeps the object is the best for another attempt.
+        that keeps the object is the best for another attempt. A late copy of
+        its refusal would pass for the response to that attempt, so a request
+        that runs at most once is sent to each endpoint only once.
         """
         not_run = result.outcome is UpstreamOutcome.NOT_RUN
-        return context.fails_everywhere and not_run
+        may_repeat = context.route.idempotent
+        return context.fails_everywhere and may_repeat and not_run
 
     async def _attempt_again(
         self,
--- a/carawayvale/gateway/tests/fleet.py
+++ b/carawayvale/gateway/tests/fleet.py
@@ -37,16 +37,18 @@
 INTERNAL_PORT = 7005
 METRICS_PORT = 7006
 HOST_NUMBERS = itertools.count(1)
+HOSTS_PER_BLOCK = 250
+BLOCK_STEP = 25
 
 
 def make_host() -> str:
     """Make a loopback address that no other instance or test uses."""
     number = next(HOST_NUMBERS)
     pid = os.getpid()
-    return (
-        f"127.{16 + pid % 200}.{pid // 200 % 100 + 100 * (number // 250)}"
-        f".{1 + number % 250}"
-    )
+    block, host = divmod(number, HOSTS_PER_BLOCK)
+    # Processes differ in the second byte, and in the third within a block.
+    third = pid // 200 % BLOCK_STEP + BLOCK_STEP * block
+    return f"127.{16 + pid % 200}.{third}.{1 + host}"
 
 
 def make_settings(
