--- a/carawayvale/gateway/request_attempts.py
+++ b/carawayvale/gateway/request_attempts.py
@@ -5,12 +5,9 @@
 
 from carawayvale.catalogue.records import EndpointRecord
 from carawayvale.contracts.clock import read_boot_clock
-from carawayvale.gateway.forwarding import OwnerRefused
-from carawayvale.gateway.forwarding import OwnerUnreachable
-from carawayvale.gateway.forwarding import serve_at_owner
 from carawayvale.gateway.gateway_node import GatewayNode
+from carawayvale.gateway.owner_attempts import attempt_owners
 from carawayvale.gateway.owner_request import OwnerRequest
-from carawayvale.gateway.request_context import LostOwner
 from carawayvale.gateway.request_context import RequestContext
 from carawayvale.gateway.request_context import StopReason
 from carawayvale.gateway.upstream import UpstreamOutcome
@@ -27,10 +24,6 @@
 MAX_REMOTE_ENDPOINTS = 2
 MAX_LATE_ENDPOINTS = 3
 
-# Maximum number of instances that are attempted as owner of one endpoint
-# while the ones before are unreachable.
-MAX_OWNERS = 2
-
 # Maximum number of endpoints that crash during the attempts of one request
 # before it gets no further attempt. The quarantine of the same request in
 # later attempts of its caller has a limit of its own.
@@ -301,8 +294,8 @@
                 continue
             owner_request = replace(owner_request, may_warm_up=may_warm_up)
             context.current = name
-            result = await self._attempt_owners(
-                context, endpoint, owner_request
+            result = await attempt_owners(
+                node, context, endpoint, owner_request
             )
             self._record_attempt(context, name, result)
             if was_full:
@@ -384,7 +377,9 @@
         :returns: the result for the caller, or None.
         """
         context.current = endpoint.name
-        result = await self._attempt_owners(context, endpoint, owner_request)
+        result = await attempt_owners(
+            self.node, context, endpoint, owner_request
+        )
         self._record_attempt(context, endpoint.name, result)
         if result is None or result.outcome in REJECTING_OUTCOMES:
             return None
@@ -401,46 +396,6 @@
         context.attempts.append((name, outcome))
         self.node.observer.count_attempt(context.rank, outcome)
 
-    async def _attempt_owners(
-        self,
-        context: RequestContext,
-        endpoint: EndpointRecord,
-        owner_request: OwnerRequest,
-    ) -> UpstreamResult | None:
-        """Send a request to the first reachable owner of an endpoint.
-
-        :returns: the result; None if no owner could be reached.
-        """
-        owners = self.node.owners.list_owners(
-            endpoint, context.allowed_regions
-        )
-        for owner in owners[:MAX_OWNERS]:
-            started_s = read_boot_clock()
-            try:
-                result = await serve_at_owner(
-                    self.node, owner, owner_request, endpoint
-                )
-                if result.outcome is UpstreamOutcome.OWNER_LOST:
-                    state = self.node.describe_state(owner)
-                    context.lost_owners.append(LostOwner(owner, state))
-                return result
-            except OwnerUnreachable as error:
-                refused = isinstance(error, OwnerRefused)
-                own_delay = not refused and self.node.own_delay.was_behind(
-                    started_s
-                )
-                if not own_delay:
-                    self.node.owners.back_off(owner)
-                log_event(
-                    "owner_unreachable",
-                    "WARNING",
-                    owner=owner,
-                    endpoint=endpoint.name,
-                    own_delay=own_delay,
-                    cause=str(error),
-                )
-        return None
-
     def _evaluate_result(
         self, context: RequestContext, result: UpstreamResult
     ) -> bool:
