Keep the rate of a quota's owner through a change of weights; bound capacities

By reading: an owner whose weight changed counted as a new owner, which grants a tenth of the rate for five seconds of a quota that it has not been asked for yet; weights of others change when the strongest instance becomes known. It stays the owner since the time at which it became one.

Capacities are kept for later processes of the same names, without a bound for names that do not come again; the oldest beyond 4,096 are forgotten now.

--- a/carawayvale/catalogue/builder.py
+++ b/carawayvale/catalogue/builder.py
@@ -34,6 +34,9 @@
 # the time that the reports took to arrive.
 COLD_END_TOLERANCE_S = 0.5
 
+# Bound of the capacities that are kept; the oldest are forgotten first.
+MAX_CAPACITIES = 4096
+
 # Less than every packed position, and of no epoch.
 NO_REVISION = -1
 
@@ -355,7 +358,10 @@
     def _apply_capacity(self, update: CapacityUpdate, now_s: float) -> bool:
         """Record a capacity; it holds for a later process of the instance."""
         if update.capacity is not None:
+            self.capacities.pop(update.name, None)
             self.capacities[update.name] = update.capacity
+            if len(self.capacities) > MAX_CAPACITIES:
+                del self.capacities[next(iter(self.capacities))]
         return True
 
     def _keep_crash(self, update: CrashUpdate, now_s: float) -> bool:
--- a/carawayvale/catalogue/tests/test_builder.py
+++ b/carawayvale/catalogue/tests/test_builder.py
@@ -5,7 +5,9 @@
 from hypothesis import given
 from hypothesis import strategies
 
+from carawayvale.capacity.weights import Capacity
 from carawayvale.catalogue.builder import CatalogueBuilder
+from carawayvale.catalogue.builder import MAX_CAPACITIES
 from carawayvale.catalogue.builder import STORE_RETURN_GRACE_S
 from carawayvale.catalogue.position import StorePosition
 from carawayvale.catalogue.records import Configuration
@@ -13,6 +15,7 @@
 from carawayvale.catalogue.records import EndpointState
 from carawayvale.catalogue.replica import StoredItem
 from carawayvale.catalogue.replica import StoreReplica
+from carawayvale.catalogue.source import CapacityUpdate
 from carawayvale.catalogue.source import ConfigurationUpdate
 from carawayvale.catalogue.source import EndpointUpdate
 from carawayvale.catalogue.source import EvacuationUpdate
@@ -401,6 +404,23 @@
         assert builder.take_catalogue().evacuated == frozenset()
 
 
+class TestCapacities:
+    def test_capacity_is_kept_after_its_entry_is_gone(self):
+        fixture = CatalogueFixture()
+        fixture.apply(CapacityUpdate("e1", Capacity(0.3, 5.0)), 1.0)
+        fixture.apply(CapacityUpdate("e1", None), 2.0)
+        assert fixture.builder.capacities == {"e1": Capacity(0.3, 5.0)}
+
+    def test_oldest_capacities_are_forgotten(self):
+        fixture = CatalogueFixture()
+        for number in range(MAX_CAPACITIES + 2):
+            update = CapacityUpdate(f"e{number}", Capacity(0.3, 5.0))
+            fixture.apply(update, 1.0)
+        capacities = fixture.builder.capacities
+        assert len(capacities) == MAX_CAPACITIES
+        assert "e1" not in capacities and "e2" in capacities
+
+
 class TestConfiguration:
     def test_an_older_revision_is_ignored(self):
         catalogue = CatalogueFixture()
--- a/carawayvale/steering/quota_owners.py
+++ b/carawayvale/steering/quota_owners.py
@@ -94,7 +94,10 @@
         self.changed_s = now_s
         for organisation, entry in self.entries.items():
             if members.get(entry.name) != old.get(entry.name):
-                self.entries[organisation] = self._choose(organisation)
+                chosen = self._choose(organisation)
+                if chosen.name == entry.name:
+                    chosen.since_s = entry.since_s
+                self.entries[organisation] = chosen
                 continue
             for name in added:
                 score = _score(organisation, name, members[name])
--- a/carawayvale/steering/tests/test_quotas.py
+++ b/carawayvale/steering/tests/test_quotas.py
@@ -205,6 +205,29 @@
         ownership.set_members(set(names) - {other}, 5.0)
         assert ownership.find(NAME).since_s == 0.0
 
+    def test_a_changed_weight_leaves_an_owner_its_rate(self):
+        names = [f"e{number}" for number in range(9)]
+        ownership = QuotaOwnership("e0", 0.0)
+        ownership.set_members(names, 0.0)
+        owner = ownership.find(NAME).name
+        weights = {name: 1.0 if name == owner else 0.5 for name in names}
+        ownership.set_members(names, 5.0, weights.get)
+        assert ownership.find(NAME).name == owner
+        assert ownership.find(NAME).since_s == 0.0
+        ownership.set_members(names, 6.0, lambda name: 0.25)
+        assert ownership.find(NAME).name == owner
+        assert ownership.find(NAME).since_s == 0.0
+
+    def test_small_instances_own_as_few_quotas_as_their_weight_says(self):
+        names = [f"e{number}" for number in range(12)]
+        ownership = QuotaOwnership("e0", 0.0)
+        ownership.set_members(
+            names, 0.0, lambda name: 1.0 if name in ("e0", "e1") else 0.05
+        )
+        owners = [ownership.find(str(number)).name for number in range(500)]
+        large = sum(name in ("e0", "e1") for name in owners)
+        assert 350 <= large <= 450
+
 
 class TestChangeOfOwner:
     LIMIT = QuotaLimit(10.0, 10.0)
