Limit how fast requests move between other regions

The share that leaves the region was limited, not to where. The share of each other region may now grow by half of what all of them together may. instance_load and the metric sent_requests show the regions.

--- a/carawayvale/gateway/load_monitor.py
+++ b/carawayvale/gateway/load_monitor.py
@@ -38,6 +38,7 @@
         self.worst_receive_share = 0.0
         self._logged_s = read_boot_clock()
         self._totals: dict[str, int] = {}
+        self._sent: dict[str, int] = {}
 
     def sample(self, delay_s: float, now_s: float) -> None:
         """Take one measurement, and log if that is due.
@@ -68,6 +69,7 @@
             link_queue_ms=format_ms(queue_s),
             link_received=round(self.worst_receive_share, 2),
             **self._measure_growth(),
+            regions=self._format_regions(),
         )
         self.worst_queue_s = self.worst_receive_share = 0.0
 
@@ -90,3 +92,18 @@
         }
         self._totals = totals
         return growth
+
+    def _format_regions(self) -> str:
+        """Format how many requests were sent to each region since last."""
+        counters = self.observer.metrics.counters
+        totals = {
+            region: number
+            for (name, region), number in sorted(counters.items())
+            if name == "sent_requests"
+        }
+        last, self._sent = self._sent, totals
+        growth = {
+            region: number - last.get(region, 0)
+            for region, number in totals.items()
+        }
+        return ",".join(f"{k}:{v}" for k, v in growth.items() if v) or "-"
--- a/carawayvale/gateway/observer.py
+++ b/carawayvale/gateway/observer.py
@@ -104,6 +104,13 @@
         """
         self.metrics.count("hops", service)
 
+    def count_region(self, region: str) -> None:
+        """Count a request that was sent to an endpoint by its region.
+
+        :param region: region of the endpoint.
+        """
+        self.metrics.count("sent_requests", region)
+
     def count_unserved(self, service: str, rank: int, reason: str) -> None:
         """Count a request that no endpoint served, by its kind and reason.
 
--- a/carawayvale/gateway/request_attempts.py
+++ b/carawayvale/gateway/request_attempts.py
@@ -276,9 +276,9 @@
                 context.stop_reason = StopReason.DEADLINE
                 return None
             is_remote = endpoint.region != node.settings.region
-            if is_remote and not node.shift_limit.allows_remote(now_s):
-                continue
             region, name = endpoint.region, endpoint.name
+            if is_remote and not node.shift_limit.allows_remote(now_s, region):
+                continue
             if name in context.attempted:
                 continue
             may_warm_up = choices.may_warm_up(region, name)
@@ -321,7 +321,8 @@
             if result.outcome is UpstreamOutcome.SKIPPED:
                 context.skipped.append(endpoint)
                 continue
-            node.shift_limit.record(is_remote, now_s)
+            node.shift_limit.record(is_remote, now_s, region)
+            node.observer.count_region(region)
             context.attempted.append(name)
             if self._evaluate_result(context, result):
                 return result
--- a/carawayvale/steering/rates.py
+++ b/carawayvale/steering/rates.py
@@ -1,5 +1,6 @@
 """Rate limits: cold endpoints, retries, shifts between regions."""
 
+from collections import Counter
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
@@ -22,6 +23,14 @@
 # allowed shift.
 SHIFT_FRACTION = 0.7
 
+# Part of that by which the share of one other region may grow.
+REGION_FRACTION = 0.5
+
+# Names in the windows of the own region, and of others that are not told
+# apart.
+OWN_REGION = ""
+OTHER_REGION = "other"
+
 # While the current window has fewer requests than this, the allowed
 # number of remote requests is computed as if it had this many, and no
 # request has to be served remotely. The first number holds for one
@@ -150,32 +159,40 @@
 
 
 class ShiftWindow:
-    """Requests of one window, with the number of remote ones."""
+    """Requests of one window, with the number of those of each region.
+
+    The own region has no name here.
+    """
 
     def __init__(self):
-        self.requests: deque[tuple[float, bool]] = deque()
-        self.remote = 0
+        self.requests: deque[tuple[float, str]] = deque()
+        self.counts: Counter[str] = Counter()
 
     def __len__(self) -> int:
         return len(self.requests)
 
-    def add(self, time_s: float, remote: bool) -> None:
+    @property
+    def remote(self) -> int:
+        """Number of requests that were served in other regions."""
+        return len(self.requests) - self.counts[OWN_REGION]
+
+    def add(self, time_s: float, region: str) -> None:
         """Add a request.
 
         :param time_s: the time at which it was served.
-        :param remote: whether it was served in another region.
+        :param region: the other region that served it; empty for the own.
         """
-        self.requests.append((time_s, remote))
-        self.remote += remote
+        self.requests.append((time_s, region))
+        self.counts[region] += 1
 
-    def pop(self) -> tuple[float, bool]:
+    def pop(self) -> tuple[float, str]:
         """Remove the oldest request.
 
-        :returns: its time and whether it was remote.
+        :returns: its time and region.
         """
-        time_s, remote = self.requests.popleft()
-        self.remote -= remote
-        return time_s, remote
+        time_s, region = self.requests.popleft()
+        self.counts[region] -= 1
+        return time_s, region
 
     @property
     def oldest_s(self) -> float:
@@ -190,7 +207,9 @@
     other regions grows by at most one step per window, and later shrinks
     as slowly. Meanwhile caches in the other regions warm up, and their
     capacity can follow. Each instance limits the share of its own requests,
-    so that of all requests of the region is limited too.
+    so that of all requests of the region is limited too. The share of each
+    other region grows by less, since requests that move from one of them to
+    another change their region as well.
 
     :param max_change: allowed change of the share from one window to the next.
     """
@@ -217,13 +236,16 @@
         """
         self.suspended_until_s = max(self.suspended_until_s, until_s)
 
-    def record(self, remote: bool, now_s: float) -> None:
+    def record(
+        self, remote: bool, now_s: float, region: str = OTHER_REGION
+    ) -> None:
         """Record where a request is served.
 
         :param remote: whether it is served in another region.
         :param now_s: the time.
+        :param region: that region, where several are told apart.
         """
-        self.current.add(now_s, remote)
+        self.current.add(now_s, region if remote else OWN_REGION)
         self._advance(now_s)
         while now_s - self.previous.oldest_s > 2 * SHIFT_WINDOW_S:
             self.previous.pop()
@@ -250,11 +272,13 @@
         self._advance(now_s)
         return not len(self.previous)
 
-    def allows_remote(self, now_s: float) -> bool:
+    def allows_remote(self, now_s: float, region: str = "") -> bool:
         """Tell whether another request may be served in another region.
 
         :param now_s: the time.
-        :returns: whether the share of remote requests may grow.
+        :param region: that region; empty if they are not told apart.
+        :returns: whether the share of remote requests, and that of the
+            region, may grow.
         """
         if now_s < self.suspended_until_s or self._lacks_history(now_s):
             return True
@@ -262,7 +286,18 @@
         allowed = (previous + self.max_change) * max(
             total + 1, self.min_samples
         )
-        return remote + 1 <= allowed
+        if remote + 1 > allowed:
+            return False
+        return not region or self._allows_region(region)
+
+    def _allows_region(self, region: str) -> bool:
+        """Tell whether the share of one other region may grow."""
+        previous, current = self.previous, self.current
+        share = previous.counts[region] / len(previous)
+        allowed = (share + REGION_FRACTION * self.max_change) * max(
+            len(current) + 1, self.min_samples
+        )
+        return current.counts[region] + 1 <= allowed
 
     def requires_remote(self, now_s: float) -> bool:
         """Tell whether the share of remote requests shrinks too fast.
--- a/carawayvale/steering/tests/test_decisions.py
+++ b/carawayvale/steering/tests/test_decisions.py
@@ -1,5 +1,6 @@
 """Tests of routing, placement, rates and health."""
 
+from collections import Counter
 from fractions import Fraction
 import random
 
@@ -336,3 +337,56 @@
             )
             health.record(signal, n / 10)
             assert not health.is_failing
+
+
+class TestShiftBetweenOtherRegions:
+    """Most instances prefer one other region, then at once the other one."""
+
+    INSTANCES = 8
+    RATE = 60
+    LENGTH_S = 14.0
+    FLIP_S = 3.0
+    REMOTE_SHARE = 0.5
+    FIRST_SHARE = 0.9
+
+    def list_choices(self, rng, time_s):
+        """List the other regions of a request, the preferred one first."""
+        order = ["geneva", "lugano"]
+        is_first = rng.random() < self.FIRST_SHARE
+        if is_first == bool(int(time_s // self.FLIP_S) % 2):
+            order.reverse()
+        return order if rng.random() < self.REMOTE_SHARE else []
+
+    def play(self, seed):
+        """Return the shares of the regions in each window of two seconds."""
+        rng = random.Random(seed)
+        limits = [ShiftLimit(0.15) for _ in range(self.INSTANCES)]
+        for limit in limits:
+            limit.set_instances(self.INSTANCES)
+        number = int(self.INSTANCES * self.RATE * self.LENGTH_S)
+        times_s = sorted(rng.uniform(0, self.LENGTH_S) for _ in range(number))
+        windows = {}
+        for time_s in times_s:
+            limit = rng.choice(limits)
+            choices = self.list_choices(rng, time_s)
+            if limit.requires_remote(time_s):
+                choices = choices or ["geneva", "lugano"]
+            allowed = [r for r in choices if limit.allows_remote(time_s, r)]
+            region = allowed[0] if allowed else ""
+            limit.record(bool(region), time_s, region)
+            window = windows.setdefault(int(time_s // 2), Counter())
+            window[region] += 1
+        return [
+            {r: n / sum(window.values()) for r, n in window.items()}
+            for _, window in sorted(windows.items())
+        ]
+
+    def test_requests_that_change_their_region_are_limited(self):
+        changes = []
+        for seed in range(10):
+            shares = self.play(seed)
+            changes += [
+                sum(max(0.0, new[r] - old.get(r, 0.0)) for r in new)
+                for old, new in zip(shares, shares[1:])
+            ]
+        assert max(changes) <= MAX_SHIFT
