Divide allowances by the weights of instances

Each counts the others by their weights relative to its own now; the parts of all add up to the whole as before, and equal instances have equal parts.

--- a/carawayvale/capacity/tests/test_weights.py
+++ b/carawayvale/capacity/tests/test_weights.py
@@ -51,6 +51,18 @@
         assert all(0.0 < weights.find(name) <= 1.0 for name in named)
 
 
+class TestSharedAllowances:
+    def test_parts_of_all_instances_are_the_whole(self):
+        capacities = {"l1": LARGE, "l2": LARGE, "s1": SMALL, "s2": SMALL}
+        weights = InstanceWeights(capacities)
+        parts = [
+            1 / weights.count_equivalents(name, capacities)
+            for name in capacities
+        ]
+        assert abs(sum(parts) - 1.0) < 1e-9
+        assert parts[0] == parts[1] > 5 * parts[2]
+
+
 class TestUseOfInstances:
     def make_fleet(self, large, small):
         fleet = {f"l{n}": LARGE for n in range(large)}
--- a/carawayvale/capacity/weights.py
+++ b/carawayvale/capacity/weights.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from statistics import median
@@ -101,3 +102,18 @@
         :returns: the weight, above 0 and at most 1.
         """
         return self._weights.get(name, self._median)
+
+    def count_equivalents(self, name: str, names: Iterable[str]) -> float:
+        """Count how many instances like one would take what some take.
+
+        Where the instances share an allowance, this is the number by which
+        it is divided for that instance.
+
+        :param name: name of the instance.
+        :param names: names of all instances that share, with this one.
+        :returns: their number, if all are equal.
+
+        >>> InstanceWeights().count_equivalents("e1", ["e1", "e2", "e3"])
+        3.0
+        """
+        return sum(map(self.find, names)) / self.find(name)
--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -1,5 +1,6 @@
 """Hold the state that the tasks and handlers of an instance share."""
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import replace
 from random import Random
@@ -259,9 +260,8 @@
         self.owners.invalidate()
         region = self.settings.region
         serving = self.membership.list_serving()
-        self.shift_limit.set_instances(
-            sum(record.region == region for record in serving)
-        )
+        names = [r.name for r in serving if r.region == region]
+        self.shift_limit.set_instances(self._count_equivalents(names))
 
     def _update_owned(self, now_s: float) -> None:
         for name, owned in list(self.owned.items()):
@@ -360,10 +360,25 @@
 
     def _may_repeat(self, service: str) -> bool:
         """Spend one retry of the budget for a repeat, if one is left."""
+        return self.spend_retry(service, REPEAT_RESERVE)
+
+    def spend_retry(self, service: str, reserve: float = 0.0) -> bool:
+        """Spend one retry of the budget of a service if one is left.
+
+        :param service: name of the service.
+        :param reserve: fraction of the budget that is left for others.
+        :returns: whether the retry may be sent.
+        """
+        instances = self._count_equivalents(self.membership.records)
         return self.find_retry_budget(service).spend(
-            read_boot_clock(), len(self.membership.records), REPEAT_RESERVE
+            read_boot_clock(), instances, reserve
         )
 
+    def _count_equivalents(self, names: Iterable[str]) -> float:
+        """Count some instances, each by its weight relative to this one."""
+        weights = self.membership.weights
+        return weights.count_equivalents(self.settings.name, names)
+
     def describe_state(self, name: str) -> str:
         """Name the state of an instance for logs and metrics.
 
--- a/carawayvale/gateway/request_attempts.py
+++ b/carawayvale/gateway/request_attempts.py
@@ -438,9 +438,7 @@
             return StopReason.CRASHES
         if len(context.attempted) >= context.route.max_attempts:
             return StopReason.ATTEMPT_LIMIT
-        instances = len(self.node.membership.records)
-        budget = self.node.find_retry_budget(context.service)
-        if not budget.spend(read_boot_clock(), instances):
+        if not self.node.spend_retry(context.service):
             return StopReason.RETRY_BUDGET
         return None
 
--- a/carawayvale/steering/rates.py
+++ b/carawayvale/steering/rates.py
@@ -117,7 +117,7 @@
 
     The ratio applies to the requests that this instance received, so the
     sum over all instances is the ratio of all requests. The fixed
-    allowance is divided evenly among the instances.
+    allowance is divided among the instances by their weights.
 
     :param ratio: retries allowed per request.
     :param extra: fixed allowance: retries allowed in addition per
@@ -139,13 +139,13 @@
         self.requests.add(now_s)
 
     def spend(
-        self, now_s: float, instances: int, reserve: float = 0.0
+        self, now_s: float, instances: float, reserve: float = 0.0
     ) -> bool:
         """Spend one retry of the budget if one is left.
 
         :param now_s: the time.
-        :param instances: number of instances that share the fixed
-            allowance.
+        :param instances: number of instances like this one that share the
+            fixed allowance.
         :param reserve: fraction of the budget that is left for others.
         :returns: whether the retry may be sent.
         """
@@ -221,10 +221,11 @@
         self.previous = ShiftWindow()
         self.current = ShiftWindow()
 
-    def set_instances(self, instances: int) -> None:
+    def set_instances(self, instances: float) -> None:
         """Set how many instances serve the callers of the region.
 
-        :param instances: their number, with this one.
+        :param instances: their number, with this one, each counted by its
+            part of the requests relative to that of this one.
         """
         region_samples = MIN_REGION_SHIFT_SAMPLES / max(1, instances)
         self.min_samples = min(MIN_SHIFT_SAMPLES, region_samples)
