Simplify what the weights and the shift limit wrote twice

- Requests without an object took places among the kept orders of endpoints, which only objects use again; they get an order that is not kept.
- Two of three formulas of the shift limit for a share that may grow are one.
- The number of values of the hash stood in three modules, the bytes of a megabit in two: one each.
The growth of counters was computed twice.
- LoopLag kept a time that nothing read; the tests that passed it call without it, their assertions are unchanged.

--- a/carawayvale/capacity/link_meter.py
+++ b/carawayvale/capacity/link_meter.py
@@ -7,8 +7,7 @@
 
 import math
 
-BITS_PER_BYTE = 8
-BITS_PER_MEGABIT = 1_000_000
+BYTES_PER_MEGABIT = 125_000
 
 # Longest queue of the own link at which a large message goes on. Small ones,
 # such as heartbeats, quota calls and short responses, wait no longer than
@@ -50,8 +49,7 @@
 
         :param bandwidth_mbps: Mbit/s in each direction, above 0.
         """
-        bits_per_s = bandwidth_mbps * BITS_PER_MEGABIT
-        self.bytes_per_s = bits_per_s / BITS_PER_BYTE
+        self.bytes_per_s = bandwidth_mbps * BYTES_PER_MEGABIT
 
     @property
     def piece_bytes(self) -> float:
--- a/carawayvale/capacity/loop_lag.py
+++ b/carawayvale/capacity/loop_lag.py
@@ -6,24 +6,20 @@
 
     :param latest_s: delay of the latest timer in seconds.
     :param worst_s: longest delay since the last call of :meth:`take_worst`.
-    :param measured_s: time of the latest measurement.
     """
 
     def __init__(self):
         self.latest_s = 0.0
         self.worst_s = 0.0
-        self.measured_s = 0.0
 
-    def record(self, delay_s: float, now_s: float) -> None:
+    def record(self, delay_s: float) -> None:
         """Record the delay of a timer.
 
         :param delay_s: seconds between the time for which it was set and
             the time at which its task ran.
-        :param now_s: the time.
         """
         self.latest_s = max(0.0, delay_s)
         self.worst_s = max(self.worst_s, self.latest_s)
-        self.measured_s = now_s
 
     def take_worst(self) -> float:
         """Return the longest delay since the last call, and forget it.
--- a/carawayvale/capacity/tests/test_link_meter.py
+++ b/carawayvale/capacity/tests/test_link_meter.py
@@ -41,8 +41,8 @@
 class TestLoopLag:
     def test_worst_delay_is_taken_once(self):
         lag = LoopLag()
-        lag.record(0.2, 1.0)
-        lag.record(0.01, 1.1)
+        lag.record(0.2)
+        lag.record(0.01)
         assert lag.latest_s == 0.01
         assert lag.take_worst() == 0.2
         assert lag.take_worst() == 0.0
--- a/carawayvale/capacity/tests/test_own_delay.py
+++ b/carawayvale/capacity/tests/test_own_delay.py
@@ -33,9 +33,9 @@
 
     def test_busy_event_loop_counts(self):
         delay = make_delay()
-        delay.loop_lag.record(0.3, 1.0)
+        delay.loop_lag.record(0.3)
         delay.observe(1.0)
         assert delay.was_behind(0.8)
-        delay.loop_lag.record(0.0, 2.0)
+        delay.loop_lag.record(0.0)
         delay.observe(2.0)
         assert not delay.was_behind(1.5)
--- a/carawayvale/capacity/weights.py
+++ b/carawayvale/capacity/weights.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass
 from statistics import median
 
+from carawayvale.capacity.link_meter import BYTES_PER_MEGABIT
+
 # Processor time and bytes in each direction of one request, at the instance
 # that the caller uses and at the owner of the endpoint together.
 REQUEST_CPU_S = 0.005
@@ -23,8 +25,6 @@
 # The event loop of a process uses one core at most.
 MAX_CPU_SHARE = 1.0
 
-BYTES_PER_MEGABIT = 125_000
-
 # At the same use, the queue of a slow instance delays more than that of a
 # fast one, so a slow one gets less than its part of the capacity, as in
 # Tantawi and Towsley, "Optimal static load balancing in distributed computer
--- a/carawayvale/gateway/gateway_node.py
+++ b/carawayvale/gateway/gateway_node.py
@@ -230,21 +230,33 @@
         place = (service, key, allowed_regions)
         placement = self._placements.get(place)
         if placement is None:
-            by_region = self.usable_endpoints.get(service, {})
-            if allowed_regions:
-                by_region = {
-                    region: endpoints
-                    for region, endpoints in by_region.items()
-                    if region in allowed_regions
-                }
-            placement = ObjectPlacement(
-                by_region, f"{service}|{key}", self.settings.region
-            )
+            placement = self.make_placement(*place)
             if len(self._placements) >= MAX_PLACEMENTS:
                 del self._placements[next(iter(self._placements))]
             self._placements[place] = placement
         return placement
 
+    def make_placement(
+        self, service: str, key: str, allowed_regions: frozenset[str]
+    ) -> ObjectPlacement:
+        """Order the usable endpoints for a key that does not come again.
+
+        :param service: name of the service.
+        :param key: the key, for example the id of a request.
+        :param allowed_regions: regions of the endpoints; empty for all.
+        :returns: the endpoints in order.
+        """
+        by_region = self.usable_endpoints.get(service, {})
+        if allowed_regions:
+            by_region = {
+                region: endpoints
+                for region, endpoints in by_region.items()
+                if region in allowed_regions
+            }
+        return ObjectPlacement(
+            by_region, f"{service}|{key}", self.settings.region
+        )
+
     def _accepts_requests(self, endpoint: EndpointRecord) -> bool:
         """Tell whether neither endpoint nor operators end its service."""
         evacuated = endpoint.domain in self.catalogue.evacuated
--- a/carawayvale/gateway/load_monitor.py
+++ b/carawayvale/gateway/load_monitor.py
@@ -12,14 +12,22 @@
 
 BYTES_PER_KB = 1000
 
-# By field of the log line: name of the counter whose growth it shows.
-COUNTERS = {
-    "requests": "requests",
-    "attempts": "attempts",
-    "hops": "hops",
-    "unserved": "unserved",
-    "quota_calls": "quota_calls",
-}
+# Counters whose growth the log line shows, and the one of which it shows each
+# label.
+COUNTERS = ("requests", "attempts", "hops", "unserved", "quota_calls")
+REGION_COUNTER = "sent_requests"
+
+
+def find_growth(
+    totals: Mapping[str, int], last: Mapping[str, int]
+) -> dict[str, int]:
+    """Find by how much totals have grown.
+
+    :param totals: the totals by name.
+    :param last: earlier totals; absent ones were 0.
+    :returns: the differences by name.
+    """
+    return {name: total - last.get(name, 0) for name, total in totals.items()}
 
 
 class LoadMonitor:
@@ -46,7 +54,7 @@
         :param delay_s: delay of a timer in seconds.
         :param now_s: the time.
         """
-        self.loop_lag.record(delay_s, now_s)
+        self.loop_lag.record(delay_s)
         self.own_delay.observe(now_s)
         queue_s = self.link.find_queue(now_s)
         self.worst_queue_s = max(self.worst_queue_s, queue_s)
@@ -80,18 +88,14 @@
             "received_kb": self.link.received_bytes // BYTES_PER_KB,
         }
         counters = self.observer.metrics.counters
-        for field, wanted in COUNTERS.items():
-            totals[field] = sum(
+        for wanted in COUNTERS:
+            totals[wanted] = sum(
                 number
                 for (name, _), number in counters.items()
                 if name == wanted
             )
-        growth = {
-            field: total - self._totals.get(field, 0)
-            for field, total in totals.items()
-        }
-        self._totals = totals
-        return growth
+        last, self._totals = self._totals, totals
+        return find_growth(totals, last)
 
     def _format_regions(self) -> str:
         """Format how many requests were sent to each region since last."""
@@ -99,11 +103,8 @@
         totals = {
             region: number
             for (name, region), number in sorted(counters.items())
-            if name == "sent_requests"
+            if name == REGION_COUNTER
         }
         last, self._sent = self._sent, totals
-        growth = {
-            region: number - last.get(region, 0)
-            for region, number in totals.items()
-        }
+        growth = find_growth(totals, last)
         return ",".join(f"{k}:{v}" for k, v in growth.items() if v) or "-"
--- a/carawayvale/gateway/request_attempts.py
+++ b/carawayvale/gateway/request_attempts.py
@@ -93,10 +93,11 @@
 
     def _place_object(self, context: RequestContext) -> ObjectPlacement:
         """Order the usable endpoints for the object of a request."""
-        key = context.owner_request.key or context.request_id
-        return self.node.place_object(
-            context.service, key, context.allowed_regions
-        )
+        service, regions = context.service, context.allowed_regions
+        if context.owner_request.key:
+            key = context.owner_request.key
+            return self.node.place_object(service, key, regions)
+        return self.node.make_placement(service, context.request_id, regions)
 
     def _order_groups(
         self, context: RequestContext, placement: ObjectPlacement
--- a/carawayvale/steering/rates.py
+++ b/carawayvale/steering/rates.py
@@ -283,22 +283,29 @@
         """
         if now_s < self.suspended_until_s or self._lacks_history(now_s):
             return True
-        previous, remote, total = self._measure(now_s)
-        allowed = (previous + self.max_change) * max(
-            total + 1, self.min_samples
-        )
-        if remote + 1 > allowed:
-            return False
-        return not region or self._allows_region(region)
-
-    def _allows_region(self, region: str) -> bool:
-        """Tell whether the share of one other region may grow."""
         previous, current = self.previous, self.current
-        share = previous.counts[region] / len(previous)
-        allowed = (share + REGION_FRACTION * self.max_change) * max(
-            len(current) + 1, self.min_samples
+        if not self._may_grow(
+            previous.remote, current.remote, self.max_change
+        ):
+            return False
+        return not region or self._may_grow(
+            previous.counts[region],
+            current.counts[region],
+            REGION_FRACTION * self.max_change,
         )
-        return current.counts[region] + 1 <= allowed
+
+    def _may_grow(self, previous: int, current: int, change: float) -> bool:
+        """Tell whether one more request of a kind may be served.
+
+        :param previous: number of that kind in the previous window, which
+            has requests.
+        :param current: the same for the current window.
+        :param change: by how much the share of the kind may grow.
+        :returns: whether it may.
+        """
+        share = previous / len(self.previous)
+        total = max(len(self.current) + 1, self.min_samples)
+        return current + 1 <= (share + change) * total
 
     def requires_remote(self, now_s: float) -> bool:
         """Tell whether the share of remote requests shrinks too fast.
--- a/carawayvale/steering/region_shares.py
+++ b/carawayvale/steering/region_shares.py
@@ -11,11 +11,9 @@
 from dataclasses import field
 import math
 
+from carawayvale.contracts.hashing import HASH_RANGE
 from carawayvale.contracts.hashing import hash_text
 
-# Number of values of the 64-bit hash.
-HASH_RANGE = float(1 << 64)
-
 # Time constant of the measured shares.
 TIME_CONSTANT_S = 1.5
 
--- a/carawayvale/steering/routing.py
+++ b/carawayvale/steering/routing.py
@@ -4,11 +4,9 @@
 
 from carawayvale.catalogue.records import RouteRecord
 from carawayvale.catalogue.records import WeightedService
+from carawayvale.contracts.hashing import HASH_RANGE
 from carawayvale.contracts.hashing import hash_text
 
-# Number of values of the 64-bit hash.
-HASH_RANGE = float(1 << 64)
-
 
 class RouteTable:
     """Routes of one configuration, by host and path prefix.
